--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -11,8 +11,8 @@
 	"runtime/debug"
 	"time"
 
-	"baylb/decide"
-	"baylb/wire"
+	"burlpass/decide"
+	"burlpass/wire"
 )
 
 func main() {
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"baylb/decide"
+	"burlpass/decide"
 )
 
 const (
--- a/wire/settings_test.go
+++ b/wire/settings_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"baylb/decide"
+	"burlpass/decide"
 )
 
 const testSettings = `zone=1
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"baylb/decide"
+	"burlpass/decide"
 )
 
 // Codes of the events.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"baylb/decide"
+	"burlpass/decide"
 )
 
 // frame builds a batch from a clock and records given as code and fields in hex.
