--- /dev/null
+++ b/cmd/burlpass/main.go
@@ -0,0 +1,30 @@
+// Command burlpass is a client-side load-balancing sidecar: it takes the calls of one application and
+// delegates each to one of many workers, as the decision module chooses.
+package main
+
+import (
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"burlpass/internal/program"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "burlpass:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	config, err := program.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return program.Run(config, signals, log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds))
+}
--- /dev/null
+++ b/internal/protocol/acceptor.go
@@ -0,0 +1,307 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"log"
+	"net"
+	"strconv"
+	"time"
+)
+
+// Handler gives every call its one answer.
+type Handler interface {
+	Serve(c *Call) Answer
+	Healthy() bool // able to serve
+}
+
+// Names of the headers that matter here.
+const (
+	headerClass   = "X-Qos"
+	headerTrace   = "X-Trace-Id"
+	headerExpires = "X-Expires-In"
+	headerRepeat  = "X-Second-Try"
+	headerUnrun   = "X-Never-Ran"
+)
+
+const (
+	healthPath   = "/_health"
+	readTime     = 10 * time.Second      // for one call, from its first byte: slow clients hold no memory for longer
+	writeTime    = 10 * time.Second      // for one answer
+	answerMargin = 10 * time.Millisecond // for the way of an answer back to its client
+	maxExpires   = time.Hour             // a longer wait is held to be garbage
+)
+
+// Acceptor serves clients over HTTP/1.1: it reads their calls, hands them to the handler, writes the answers.
+type Acceptor struct {
+	Handler  Handler
+	Classes  []string        // class names; a class is its position
+	Draining context.Context // done from the moment on which clients are steered away
+	Closing  context.Context // done when connections without a call are to end
+	Log      *log.Logger
+}
+
+// client is one client's connection.
+type client struct {
+	*Acceptor
+	net.Conn
+	r       *bufio.Reader
+	head    head
+	body    []byte
+	started time.Time // of the call's first byte
+	crowded bool
+	closing bool // no further call on this connection
+}
+
+// failure is an answer that needs no handler.
+type failure struct {
+	status int
+	text   string
+}
+
+func (f *failure) Error() string { return f.text }
+
+// Serve reads and answers one call after another until the connection ends.
+func (a *Acceptor) Serve(conn net.Conn, crowded bool) {
+	c := &client{Acceptor: a, Conn: conn, r: bufio.NewReaderSize(conn, maxHead), crowded: crowded}
+	stop := context.AfterFunc(a.Closing, func() { conn.SetReadDeadline(time.Now()) })
+	defer stop()
+	for !c.closing {
+		if !c.await() {
+			return
+		}
+		call, err := c.read()
+		switch {
+		case err != nil:
+			c.reject(err)
+		case call == nil:
+			c.health()
+		case crowded:
+			c.closing = true
+			c.answer(Answer{Verdict: Refused, Wait: time.Second})
+		default:
+			c.serve(call)
+		}
+		if cap(c.body) > maxHead {
+			c.body = nil // large bodies are rare; an idle connection holds no memory for them
+		}
+	}
+}
+
+// await waits for a call's first byte.
+func (c *client) await() bool {
+	if _, err := c.r.Peek(1); err != nil {
+		return false
+	}
+	c.started = time.Now()
+	// With Closing done a deadline of the past stands; the call that has begun still gets its time.
+	c.SetReadDeadline(c.started.Add(readTime))
+	return true
+}
+
+// read reads one call whole. It returns nil for a health check.
+func (c *client) read() (*Call, error) {
+	c.closing = true // until the message has been read whole, nothing can follow it
+	h := &c.head
+	if err := readHead(c.r, h); err != nil {
+		return nil, err
+	}
+	if err := h.parse(); err != nil {
+		return nil, err
+	}
+	version := h.start[2]
+	if !bytes.Equal(version, []byte("HTTP/1.1")) && !bytes.Equal(version, []byte("HTTP/1.0")) ||
+		!token(h.start[0]) || len(h.start[1]) == 0 || bytes.IndexByte(version, ' ') >= 0 {
+		return nil, malformed("request line")
+	}
+	if m := string(h.start[0]); m == "HEAD" || m == "CONNECT" { // their answers are framed unlike all others
+		return nil, &failure{400, "method not served"}
+	}
+	if h.length > MaxBody {
+		return nil, ErrBodyTooBig
+	}
+	if is(h.get("Expect"), "100-continue") && (h.chunked || h.length > 0) && c.r.Buffered() == 0 {
+		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if c.body, err = readBody(c.r, h, c.body[:0]); err != nil {
+		return nil, err
+	}
+	c.closing = h.closing || version[7] == '0' || c.Draining.Err() != nil
+	path, _, _ := bytes.Cut(h.start[1], []byte("?"))
+	if string(path) == healthPath {
+		return nil, nil
+	}
+	return c.call(path)
+}
+
+// call makes the protocol-neutral call of what has been read.
+func (c *client) call(path []byte) (*Call, error) {
+	name := c.head.get(headerClass)
+	if name == nil {
+		name, _, _ = bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
+	}
+	class := -1
+	for i, k := range c.Classes {
+		if string(name) == k {
+			class = i
+		}
+	}
+	if class < 0 {
+		return nil, &failure{400, "unknown class"}
+	}
+	if len(c.head.get(headerTrace)) == 0 {
+		return nil, &failure{400, "no " + headerTrace}
+	}
+	expires, ok := parseExpires(c.head.get(headerExpires))
+	if !ok {
+		return nil, &failure{400, "missing or invalid " + headerExpires}
+	}
+	return &Call{
+		Class:   class,
+		Budget:  max(expires-time.Since(c.started)-answerMargin, 0),
+		Repeat:  string(c.head.get(headerRepeat)) == "1",
+		Message: &request{head: &c.head, body: c.body},
+	}, nil
+}
+
+// parseExpires reads a number and a unit, m or u.
+func parseExpires(v []byte) (time.Duration, bool) {
+	if len(v) < 2 {
+		return 0, false
+	}
+	unit := time.Millisecond
+	switch v[len(v)-1] {
+	case 'm':
+	case 'u':
+		unit = time.Microsecond
+	default:
+		return 0, false
+	}
+	n := v[:len(v)-1]
+	if !('0' <= n[0] && n[0] <= '9') || bytes.ContainsAny(n, "xXpPeE_nN") {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(string(n), 64)
+	if err != nil || f <= 0 || f > float64(maxExpires/unit) {
+		return 0, false
+	}
+	return time.Duration(f * float64(unit)), true
+}
+
+// serve hands a call over, watches meanwhile for the client's leaving, and writes the answer.
+func (c *client) serve(call *Call) {
+	left, watched := make(chan struct{}), make(chan struct{})
+	call.Left = left
+	c.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(watched)
+		if _, err := c.r.Peek(1); err != nil && !isTimeout(err) {
+			close(left)
+		}
+	}()
+	answer := c.Handler.Serve(call)
+	c.answer(answer)
+	c.SetReadDeadline(time.Now())
+	<-watched
+	c.SetReadDeadline(time.Time{})
+	if c.Closing.Err() != nil {
+		c.closing = true
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// reject answers what is no call. After a framing error nobody knows where the next message would start.
+func (c *client) reject(err error) {
+	var f *failure
+	switch {
+	case errors.As(err, &f):
+	case errors.Is(err, ErrMalformed):
+		f = &failure{400, err.Error()}
+	case errors.Is(err, ErrHeadTooBig):
+		f = &failure{431, err.Error()}
+	case errors.Is(err, ErrBodyTooBig):
+		f = &failure{413, err.Error()}
+	case isTimeout(err):
+		f = &failure{408, "call not whole in time"}
+	default: // the client broke off
+		c.closing = true
+		return
+	}
+	c.Log.Printf("event=call_rejected status=%d reason=%q", f.status, f.text)
+	c.write(f.status, nil, "", []byte(f.text+"\n"))
+	if c.closing {
+		linger(c.Conn, c.r)
+	}
+}
+
+// lingerTime and lingerBytes bound how much of a rejected message is still read.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 4 * MaxBody
+)
+
+// linger reads on for a little while after the last answer: closing with unread bytes would reset the
+// connection, and the reset can overtake the answer.
+func linger(conn net.Conn, r *bufio.Reader) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		conn.SetReadDeadline(time.Now().Add(lingerTime))
+		r.Discard(lingerBytes)
+	}
+}
+
+func (c *client) health() {
+	if c.Handler.Healthy() && c.Draining.Err() == nil {
+		c.write(200, nil, "", []byte("ok\n"))
+	} else {
+		c.write(503, nil, "", []byte("not able to serve\n"))
+	}
+}
+
+// answer writes a call's one final answer.
+func (c *client) answer(a Answer) {
+	if c.Draining.Err() != nil {
+		c.closing = true
+	}
+	switch a.Verdict {
+	case Served:
+		c.write(200, a.Reply.Header, "", a.Reply.Body)
+	case Refused:
+		advice := ""
+		if a.Wait > 0 {
+			advice = "Retry-After: " + strconv.FormatFloat(a.Wait.Seconds(), 'f', -1, 64) + "\r\n"
+		}
+		c.write(503, nil, advice, nil)
+	case Expired:
+		c.write(504, nil, "", nil)
+	default:
+		c.write(502, nil, "", nil)
+	}
+}
+
+var statusLines = map[int]string{
+	200: "HTTP/1.1 200 OK\r\n", 400: "HTTP/1.1 400 Bad Request\r\n",
+	408: "HTTP/1.1 408 Request Timeout\r\n", 413: "HTTP/1.1 413 Content Too Large\r\n",
+	431: "HTTP/1.1 431 Request Header Fields Too Large\r\n", 502: "HTTP/1.1 502 Bad Gateway\r\n",
+	503: "HTTP/1.1 503 Service Unavailable\r\n", 504: "HTTP/1.1 504 Gateway Timeout\r\n",
+}
+
+func (c *client) write(status int, header []byte, extra string, body []byte) {
+	tail := extra + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	if c.closing {
+		tail += "Connection: close\r\n"
+	}
+	out := net.Buffers{[]byte(statusLines[status]), header, []byte(tail + "\r\n"), body}
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	if _, err := out.WriteTo(c.Conn); err != nil {
+		c.closing = true
+	}
+}
--- /dev/null
+++ b/internal/protocol/report.go
@@ -0,0 +1,38 @@
+package protocol
+
+import (
+	"bytes"
+	"math"
+	"strconv"
+)
+
+// loadHeader carries a load report: TEXT name=value, name=value
+const loadHeader = "Endpoint-Load-Metrics"
+
+// parseReport returns a report's values in the order of columns, nil where one is missing or is no number.
+func parseReport(text []byte, columns []string) []float32 {
+	text = bytes.TrimSpace(text)
+	text, ok := bytes.CutPrefix(text, []byte("TEXT "))
+	if !ok || len(columns) == 0 {
+		return nil
+	}
+	out, found := make([]float32, len(columns)), 0
+	for pair := range bytes.SplitSeq(text, []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		for i, column := range columns {
+			if string(bytes.TrimSpace(name)) != column {
+				continue
+			}
+			f, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 32)
+			if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+				return nil
+			}
+			out[i] = float32(f)
+			found++
+		}
+	}
+	if found != len(columns) {
+		return nil
+	}
+	return out
+}
--- /dev/null
+++ b/internal/protocol/worker.go
@@ -0,0 +1,131 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"strconv"
+	"time"
+
+	"burlpass/internal/transport"
+)
+
+// request is a client's HTTP request, to be passed on to a worker. Its head and body stay where the
+// client's connection read them until the call is over.
+type request struct {
+	head *head
+	body []byte
+}
+
+// Encode gathers the request line, the headers that pass, and the body, all unchanged.
+func (q *request) Encode(worker string, remaining time.Duration) [][]byte {
+	h := q.head
+	out := make([][]byte, 0, len(h.fields)+3)
+	line, _, _ := bytes.Cut(h.raw, []byte("\r\n"))
+	target := line[:len(line)-len(h.start[2])]
+	out = append(out, target, []byte("HTTP/1.1\r\nHost: "+worker+"\r\n"))
+	for _, f := range h.fields {
+		if h.passes(f) && !is(f.name, headerExpires) && !is(f.name, "Host") {
+			out = append(out, f.line)
+		}
+	}
+	tail := headerExpires + ": " + strconv.FormatInt(max(remaining.Microseconds(), 1), 10) + "u\r\n"
+	if h.chunked || h.length >= 0 {
+		tail += "Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n"
+	}
+	return append(out, []byte(tail+"\r\n"), q.body)
+}
+
+// probe asks a worker for its load report.
+type probe struct{}
+
+// Probe is the message of a probe.
+func Probe() Message { return probe{} }
+
+func (probe) Encode(worker string, _ time.Duration) [][]byte {
+	return [][]byte{[]byte("GET /_load HTTP/1.1\r\nHost: " + worker + "\r\n\r\n")}
+}
+
+// Workers sends messages to workers over HTTP/1.1.
+type Workers struct {
+	Pool    *transport.Pool
+	Columns []string // of a load report, in the order of the settings
+}
+
+// Delegation is one attempt at a worker. Exactly one Result arrives on Done; Reply is filled in where that
+// has no error.
+type Delegation struct {
+	*transport.Attempt
+	Reply *Reply
+}
+
+// Start sends a message to a worker. ready is asked last thing before the first byte goes out.
+func (w *Workers) Start(addr string, m Message, remaining time.Duration, ready func() bool) Delegation {
+	reply := &Reply{}
+	return Delegation{Reply: reply, Attempt: w.Pool.Start(addr, transport.Exchange{
+		Message: net.Buffers(m.Encode(addr, remaining)),
+		Ready:   ready,
+		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
+	})}
+}
+
+// CloseIdle closes the idle connections to a worker.
+func (w *Workers) CloseIdle(addr string) { w.Pool.CloseIdle(addr) }
+
+// readResponse reads the head of a final response; interim ones are passed over.
+func readResponse(r *bufio.Reader, h *head) (status int, err error) {
+	for {
+		if err := readHead(r, h); err != nil {
+			return 0, err
+		}
+		if err := h.parse(); err != nil {
+			return 0, err
+		}
+		status, err := strconv.Atoi(string(h.start[1]))
+		if err != nil || status < 100 || status > 599 || !bytes.HasPrefix(h.start[0], []byte("HTTP/1.")) {
+			return 0, malformed("status line")
+		}
+		if status >= 200 {
+			return status, nil
+		}
+		if status == 101 {
+			return 0, malformed("unasked switch of protocols")
+		}
+	}
+}
+
+// readReply reads a worker's whole answer.
+func readReply(r *bufio.Reader, columns []string, reply *Reply) (reuse bool, err error) {
+	var h head
+	status, err := readResponse(r, &h)
+	if err != nil {
+		return false, err
+	}
+	if status != 204 && status != 304 {
+		if h.length < 0 && !h.chunked { // a body up to the connection's end cannot be told from a broken one
+			return false, malformed("answer without a length")
+		}
+		if reply.Body, err = readBody(r, &h, nil); err != nil {
+			return false, err
+		}
+	}
+	switch {
+	case status == 200:
+		reply.Kind = ReplyServed
+	case (status == 503 || status == 504) && string(h.get(headerUnrun)) == "1":
+		reply.Kind = ReplyFull
+	default:
+		reply.Kind = ReplyError
+	}
+	if v := h.get(loadHeader); v != nil {
+		reply.Load = parseReport(v, columns)
+	} else if reply.Kind == ReplyServed {
+		reply.Load = parseReport(reply.Body, columns)
+	}
+	for _, f := range h.fields {
+		if h.passes(f) && !is(f.name, loadHeader) {
+			reply.Header = append(reply.Header, f.line...)
+		}
+	}
+	return !h.closing && !bytes.Equal(h.start[0], []byte("HTTP/1.0")), nil
+}
--- /dev/null
+++ b/internal/routing/call.go
@@ -0,0 +1,197 @@
+package routing
+
+import (
+	"errors"
+	"time"
+
+	"burlpass/decide"
+	"burlpass/internal/protocol"
+	"burlpass/internal/transport"
+)
+
+// task is one open call. Its fields belong to the call's goroutine, but for the mailbox.
+type task struct {
+	id     uint64
+	call   *protocol.Call
+	end    time.Time // when the client gives up
+	orders chan decide.Action
+	tries  int // delegations so far
+}
+
+// order puts an action into the mailbox. It is called under the router's lock and never waits: the module
+// gives each attempt one send and at most one cancel, and each call one final answer.
+func (t *task) order(a decide.Action) {
+	select {
+	case t.orders <- a:
+	default:
+		panic("routing: the module gave a call more orders than its attempts allow")
+	}
+}
+
+// delegation is a call's attempt at a worker.
+type delegation struct {
+	protocol.Delegation
+	try     int
+	worker  decide.ServerID
+	begun   time.Time
+	timeout *time.Timer // fires when the attempt's or the call's time is up
+	expired bool        // given up for that
+}
+
+// overtime is how long after a call's end the router waits for the module's own answer. The module gives
+// one at the end; that it should not is a fault, and the client is answered all the same.
+const overtime = 20 * time.Millisecond
+
+// Serve is the life of a call, from being taken to its one final answer. At each point of choice an event
+// goes to the module (enter, tell), and the module's orders come back through the call's mailbox.
+func (r *Router) Serve(call *protocol.Call) protocol.Answer {
+	t := r.enter(call) // the module is told of the call, and chooses
+	defer r.leave(t)
+	overdue := time.NewTimer(call.Budget + overtime)
+	defer overdue.Stop()
+
+	var out delegation               // the one delegation that is out
+	var done <-chan transport.Result // its result; nil while none is out
+	var timeout <-chan time.Time     // its time; nil while none is out
+	var final *protocol.Answer       // the answer, once chosen
+	left := call.Left
+	for {
+		select {
+		case a := <-t.orders:
+			switch {
+			case a.Kind == decide.Send && done == nil && final == nil:
+				out = r.delegate(t, a)
+				done, timeout = out.Done, out.timeout.C
+			case a.Kind == decide.Send: // a second copy is never made, nor anything after the answer
+				r.tell(t.outcome(&delegation{try: t.tries, worker: a.Server}, decide.Moot, final != nil))
+				t.tries++
+			case a.Kind == decide.Cancel:
+				if done != nil && a.Attempt == out.try {
+					out.Abort()
+				}
+			case a.Kind == decide.Refuse:
+				final = &protocol.Answer{Verdict: protocol.Refused, Wait: a.Wait}
+			case a.Kind == decide.Fail:
+				final = &protocol.Answer{Verdict: protocol.Failed}
+				if !time.Now().Before(t.end) {
+					final.Verdict = protocol.Expired
+				}
+			}
+			if final != nil && done != nil {
+				out.Abort() // the answer is chosen; what is out is called off, and its outcome told below
+			}
+
+		case result := <-done:
+			out.timeout.Stop()
+			done, timeout = nil, nil
+			status := out.status(result)
+			if status == decide.OK && final == nil {
+				final = &protocol.Answer{Verdict: protocol.Served, Reply: out.Reply}
+			}
+			r.tell(t.outcome(&out, status, final != nil || left == nil)) // the module chooses what comes next
+
+		case <-timeout:
+			timeout = nil
+			out.expired = true
+			out.Abort()
+
+		case <-left:
+			left = nil
+			r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegation off
+
+		case <-overdue.C:
+			r.Log.Printf("event=call_overdue call=%d delegations=%d", t.id, t.tries)
+			r.tell(decide.Event{Kind: decide.Left, ID: t.id})
+			final = &protocol.Answer{Verdict: protocol.Expired}
+			if done != nil {
+				out.Abort()
+			}
+		}
+		if done == nil && (final != nil || left == nil) {
+			if final == nil {
+				final = &protocol.Answer{} // for nobody
+			}
+			return *final
+		}
+	}
+}
+
+// enter makes a call known and tells the module of it.
+func (r *Router) enter(call *protocol.Call) *task {
+	t := &task{call: call, end: time.Now().Add(call.Budget),
+		orders: make(chan decide.Action, 2*r.Decide.Limits.MaxAttempts+2)}
+	r.mu.Lock()
+	r.lastCall++
+	t.id = r.lastCall
+	r.calls[t.id] = t
+	rest := r.handle(decide.Event{Kind: decide.Request, ID: t.id, Class: call.Class, Tenant: call.Tenant,
+		Budget: call.Budget, Repeat: call.Repeat, Write: call.Write})
+	r.mu.Unlock()
+	r.carryOut(rest)
+	return t
+}
+
+func (r *Router) leave(t *task) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.calls, t.id)
+}
+
+// delegate sends a call to the worker that the module chose.
+func (r *Router) delegate(t *task, a decide.Action) delegation {
+	now := time.Now()
+	limit := t.end.Sub(now)
+	if a.Timeout != 0 {
+		limit = min(limit, a.Timeout)
+	}
+	d := delegation{try: t.tries, worker: a.Server, begun: now, timeout: time.NewTimer(limit)}
+	t.tries++
+	w := r.worker(a.Server)
+	if w == nil { // it left the list between the choice and now
+		d.Attempt = transport.Refused(transport.ErrRevoked)
+		return d
+	}
+	d.Delegation = r.Workers.Start(w.addr, t.call.Message, limit, func() bool { return r.still(w) })
+	return d
+}
+
+// outcome is the module's event for how a delegation ended.
+func (t *task) outcome(d *delegation, status decide.Status, over bool) decide.Event {
+	e := decide.Event{Kind: decide.Outcome, ID: t.id, Attempt: d.try, Server: d.worker, Status: status, Done: over}
+	if d.Reply != nil && status != decide.Moot {
+		e.Latency, e.Load = time.Since(d.begun), d.Reply.Load
+	}
+	return e
+}
+
+// status says how a delegation ended.
+func (d *delegation) status(result transport.Result) decide.Status {
+	if result.Err != nil {
+		return failed(result, d.expired)
+	}
+	switch d.Reply.Kind {
+	case protocol.ReplyServed:
+		return decide.OK
+	case protocol.ReplyFull:
+		return decide.Full
+	}
+	return decide.Errored
+}
+
+// failed is the outcome of an exchange without an answer. Only one whose last byte never went out is
+// reported as never run: everything else may have run, and must not go out again unless its class allows.
+func failed(result transport.Result, expired bool) decide.Status {
+	switch {
+	case errors.Is(result.Err, transport.ErrAborted) && result.Sent && expired:
+		return decide.TimedOut
+	case errors.Is(result.Err, transport.ErrAborted) && result.Sent:
+		return decide.Cancelled
+	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded):
+		return decide.Moot // says nothing of the worker
+	case result.Sent && errors.Is(result.Err, protocol.ErrMalformed):
+		return decide.Errored
+	case result.Sent:
+		return decide.Reset
+	}
+	return decide.ConnectFailed
+}
--- /dev/null
+++ b/internal/routing/registry.go
@@ -0,0 +1,152 @@
+package routing
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"burlpass/decide"
+	"burlpass/internal/protocol"
+)
+
+// watch starts or ends the watch on the registry.
+func (r *Router) watch(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case on && !r.watching:
+		ctx, cancel := context.WithCancel(r.ctx)
+		r.watching, r.unwatch = true, cancel
+		go r.follow(ctx)
+	case !on && r.watching:
+		r.unwatch()
+	}
+}
+
+// follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a
+// call fails. That failure is told once; the module chooses when to watch again.
+func (r *Router) follow(ctx context.Context) {
+	registry := &protocol.Registry{Addr: r.Registry}
+	defer registry.Close()
+	for {
+		r.mu.Lock()
+		since := r.generation
+		r.mu.Unlock()
+		list, err := registry.Watch(ctx, since)
+		if err != nil {
+			r.mu.Lock()
+			r.watching = false
+			r.unwatch()
+			r.mu.Unlock()
+			if r.ctx.Err() == nil {
+				r.listFailed("watch", err)
+			}
+			return
+		}
+		r.learn(list, decide.ListDelta)
+	}
+}
+
+// fetch asks for the whole list once.
+func (r *Router) fetch() {
+	registry := &protocol.Registry{Addr: r.Registry}
+	defer registry.Close()
+	list, err := registry.Fetch(r.ctx)
+	if err != nil {
+		r.listFailed("fetch", err)
+		return
+	}
+	r.learn(list, decide.ListDelta)
+}
+
+func (r *Router) listFailed(call string, err error) {
+	r.Log.Printf("event=registry_failed call=%s err=%q", call, err)
+	r.tell(decide.Event{Kind: decide.Members, List: decide.ListFailed})
+}
+
+// learn takes in a list and tells the module. kind is what the list is unless it is a whole one. Its
+// address book changes under the same lock as the module, so no choice is made between the two.
+func (r *Router) learn(list *protocol.List, kind decide.ListKind) {
+	if list.Reset && kind == decide.ListDelta {
+		kind = decide.ListFull
+	}
+	r.mu.Lock()
+	if list.Generation < r.generation && kind != decide.ListCached {
+		// The answer of a slower call: what it says is older than what is known. The registry itself
+		// never counts back within one life; should it have lost its count, a whole list says so.
+		if !list.Reset {
+			list = &protocol.List{Generation: r.generation}
+		}
+	}
+	r.generation = list.Generation
+	servers := make([]decide.Server, 0, len(list.Instances))
+	stale := []string{} // addresses whose idle connections are of no more use
+	listed := map[decide.ServerID]bool{}
+	for i := range list.Instances {
+		w, s := r.describe(&list.Instances[i])
+		listed[w.id] = true
+		servers = append(servers, s)
+		if old := r.workers[w.id]; old != nil && (w.state != decide.Ready || *old != *w) {
+			stale = append(stale, old.addr)
+		}
+		if w.state == decide.Gone {
+			delete(r.workers, w.id)
+		} else {
+			r.workers[w.id] = w
+		}
+	}
+	if kind != decide.ListDelta {
+		for id, w := range r.workers {
+			if !listed[id] {
+				stale = append(stale, w.addr)
+				delete(r.workers, id)
+			}
+		}
+	}
+	r.up = 0
+	for _, w := range r.workers {
+		if w.state == decide.Ready {
+			r.up++
+		}
+	}
+	rest := r.handle(decide.Event{Kind: decide.Members, List: kind, Servers: servers, Version: list.Generation})
+	up := r.up
+	r.mu.Unlock()
+	if len(list.Instances) > 0 {
+		r.Log.Printf("event=list generation=%d entries=%d whole=%v up=%d", list.Generation,
+			len(list.Instances), kind != decide.ListDelta, up)
+	}
+	for _, addr := range stale {
+		r.Workers.CloseIdle(addr)
+	}
+	r.carryOut(rest)
+}
+
+// describe gives an instance its stable number and the module's view of it.
+func (r *Router) describe(i *protocol.Instance) (*worker, decide.Server) {
+	id, known := r.ids[i.ID]
+	if !known {
+		id = decide.ServerID(len(r.ids) + 1)
+		r.ids[i.ID] = id
+	}
+	state := decide.Gone
+	switch i.Lifecycle {
+	case protocol.Up:
+		state = decide.Ready
+	case protocol.LifecycleDraining:
+		state = decide.Draining
+	}
+	w := &worker{id: id, instance: i.ID, addr: i.Addr, state: state, startedMs: i.StartedMs}
+	return w, decide.Server{
+		ID: id, Started: time.Duration(i.StartedMs) * time.Millisecond, Cell: i.Cell, State: state,
+		Zone: position(r.Names.Zones, i.Zone), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
+	}
+}
+
+// position is a name's place in the settings; an unknown one gets the place after the last.
+func position(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	return len(names)
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,179 @@
+// Package routing drives the decision module: it turns what happens to calls, workers and the registry into
+// the module's events and carries out the actions that the module answers with. It decides nothing itself.
+//
+// One mutex guards the module and the tables here. Each event reads the clock, runs the module, and copies
+// its actions out under that lock; what a call is to do next is put into the call's own mailbox there, so
+// that orders reach it as the module gave them. No I/O is done under the lock.
+package routing
+
+import (
+	"context"
+	"log"
+	"slices"
+	"sync"
+	"time"
+
+	"burlpass/decide"
+	"burlpass/internal/protocol"
+)
+
+// Config is what a Router is made of.
+type Config struct {
+	Decide   decide.Config
+	Seed     uint64
+	Names    Names
+	Workers  *protocol.Workers
+	Registry string // address
+	Log      *log.Logger
+}
+
+// Names holds the settings' lists of names; the module knows a name by its position.
+type Names struct {
+	Zones, Kinds, Classes []string
+}
+
+// worker is one booking server as the registry last described it.
+type worker struct {
+	id        decide.ServerID
+	instance  string
+	addr      string
+	state     decide.State
+	startedMs int64
+}
+
+// Router owns the module and all open calls of one sidecar.
+type Router struct {
+	Config
+	origin time.Time // the module's clock counts from Unix time zero, on by this one's monotonic reading
+	ctx    context.Context
+
+	mu         sync.Mutex
+	balancer   *decide.Balancer
+	calls      map[uint64]*task
+	lastCall   uint64
+	ids        map[string]decide.ServerID // stable for the life of the process
+	workers    map[decide.ServerID]*worker
+	generation uint64
+	up         int  // workers listed up
+	watching   bool // a watch is going on
+	unwatch    context.CancelFunc
+}
+
+// New returns a Router that knows the workers of the list known. It works until ctx is done.
+func New(ctx context.Context, c Config, known *protocol.List) *Router {
+	r := &Router{
+		Config: c, origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed),
+		calls: map[uint64]*task{}, ids: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
+	}
+	r.learn(known, decide.ListCached)
+	return r
+}
+
+// Healthy tells whether a call could be served now.
+func (r *Router) Healthy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.up > 0
+}
+
+// now is the module's clock, read under the lock so that it never goes back between two events.
+func (r *Router) now() time.Duration {
+	return time.Duration(r.origin.UnixNano()) + time.Since(r.origin)
+}
+
+// tell hands the module one event and carries out its actions.
+func (r *Router) tell(e decide.Event) {
+	r.mu.Lock()
+	rest := r.handle(e)
+	r.mu.Unlock()
+	r.carryOut(rest)
+}
+
+// handle runs the module under the lock. Orders to calls are delivered at once; the rest is returned.
+func (r *Router) handle(e decide.Event) []decide.Action {
+	actions := r.balancer.Handle(r.now(), e)
+	rest := make([]decide.Action, 0, len(actions))
+	for _, a := range actions {
+		switch a.Kind {
+		case decide.Send, decide.Refuse, decide.Fail, decide.Cancel:
+			if t := r.calls[a.ID]; t != nil {
+				t.order(a)
+			}
+		default:
+			a.Data = slices.Clone(a.Data)
+			rest = append(rest, a)
+		}
+	}
+	return rest
+}
+
+// carryOut does what concerns no single call. It runs without the lock.
+func (r *Router) carryOut(actions []decide.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case decide.Wake:
+			time.AfterFunc(a.Wait, func() { r.tell(decide.Event{Kind: decide.Timer, Token: a.Token}) })
+		case decide.Probe:
+			go r.probe(a.Server)
+		case decide.Watch:
+			r.watch(a.On)
+		case decide.Fetch:
+			go r.fetch()
+		case decide.Close:
+			if w := r.worker(a.Server); w != nil {
+				r.Workers.CloseIdle(w.addr)
+			}
+		case decide.Log:
+			r.Log.Printf("event=decision text=%q", a.Text)
+		default: // sidecars have no way to talk to one another here
+			r.Log.Printf("event=action_ignored kind=%d", a.Kind)
+		}
+	}
+}
+
+// worker returns a copy of what is known of a worker, nil where it is not listed.
+func (r *Router) worker(id decide.ServerID) *worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.workers[id]; w != nil {
+		v := *w
+		return &v
+	}
+	return nil
+}
+
+// still tells whether a worker is listed up, at the same address and with the same start, as when it was
+// chosen. A delegation or probe that waited for its connection asks this before it writes.
+func (r *Router) still(w *worker) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.workers[w.id]
+	return now != nil && now.state == decide.Ready && now.addr == w.addr && now.startedMs == w.startedMs
+}
+
+// probeTime bounds a probe; a worker answers one only after what waits before it.
+const probeTime = 400 * time.Millisecond
+
+// probe asks a worker for its load report and gives the module exactly one result.
+func (r *Router) probe(id decide.ServerID) {
+	e := decide.Event{Kind: decide.Probed, Server: id, Status: decide.ConnectFailed}
+	begun := time.Now()
+	if w := r.worker(id); w != nil {
+		d := r.Workers.Start(w.addr, protocol.Probe(), probeTime, func() bool { return r.still(w) })
+		late := time.AfterFunc(probeTime, d.Abort)
+		result := <-d.Done
+		onTime := late.Stop()
+		switch {
+		case result.Err == nil && d.Reply.Kind == protocol.ReplyServed:
+			e.Status, e.Load = decide.OK, d.Reply.Load
+		case result.Err == nil && d.Reply.Kind == protocol.ReplyFull:
+			e.Status = decide.Full
+		case result.Err == nil:
+			e.Status = decide.Errored
+		default:
+			e.Status = failed(result, !onTime)
+		}
+	}
+	e.Latency = time.Since(begun)
+	r.tell(e)
+}
--- /dev/null
+++ b/internal/transport/pool.go
@@ -0,0 +1,310 @@
+// Package transport owns the sockets: it listens, dials, keeps idle connections to the workers, and
+// counts descriptors. It knows no protocol; what goes over a connection is the caller's.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Errors that say why an exchange never started or was given up.
+var (
+	ErrAborted = errors.New("given up by the caller")
+	ErrRevoked = errors.New("no longer wanted when its connection was there")
+	ErrCrowded = errors.New("no descriptor left for a connection")
+)
+
+// Exchange is one message to a worker and the reading of its answer. It is protocol-neutral.
+type Exchange struct {
+	Message net.Buffers
+	Ready   func() bool                                   // asked last thing before the first byte goes out
+	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one whole answer
+}
+
+// Result tells how an exchange ended. Sent is false only where the message's last byte certainly never
+// went out, so that the worker cannot have started on it.
+type Result struct {
+	Sent bool
+	Err  error
+}
+
+type stage uint8
+
+const (
+	waiting stage = iota // for its connection
+	writing
+	sent
+	settled
+)
+
+// Attempt is an exchange that has been started. Exactly one Result arrives on Done.
+type Attempt struct {
+	Done   chan Result
+	x      Exchange
+	cancel context.CancelFunc // ends a dial; nil on an idle connection
+
+	mu    sync.Mutex
+	stage stage
+	conn  *conn
+}
+
+func (a *Attempt) begin(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage != waiting {
+		return false
+	}
+	a.stage, a.conn = writing, c
+	return true
+}
+
+// settle gives the result once; later calls change nothing.
+func (a *Attempt) settle(isSent bool, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage != settled {
+		a.stage = settled
+		a.Done <- Result{Sent: isSent, Err: err}
+	}
+}
+
+// broke settles an attempt whose connection ended under it. A write that is still under way may be whole
+// already: until the writer says otherwise it counts as sent, the cautious reading.
+func (a *Attempt) broke(err error) {
+	a.mu.Lock()
+	s := a.stage
+	a.mu.Unlock()
+	a.settle(s == writing || s == sent, err)
+}
+
+// Abort gives the exchange up. Its connection is closed when Abort returns and is never used again.
+func (a *Attempt) Abort() {
+	if a.cancel != nil {
+		a.cancel()
+	}
+	a.mu.Lock()
+	c := a.conn
+	over := a.stage == settled
+	a.mu.Unlock()
+	if c != nil && !over {
+		c.Close() // returns once the descriptor is closed, so the next attempt goes out after it
+	}
+	a.broke(ErrAborted)
+}
+
+// write sends the message. Only the goroutine that made the attempt's connection its own calls it.
+func (a *Attempt) write(c *conn) {
+	if a.x.Ready != nil && !a.x.Ready() {
+		a.settle(false, ErrRevoked)
+		c.Close()
+		return
+	}
+	if !a.begin(c) { // settled meanwhile: nothing may go out any more
+		c.Close()
+		return
+	}
+	want := 0
+	for _, b := range a.x.Message {
+		want += len(b)
+	}
+	n, err := a.x.Message.WriteTo(c.Conn)
+	if err != nil {
+		a.settle(int(n) >= want, err)
+		c.Close()
+		return
+	}
+	a.mu.Lock()
+	if a.stage == writing {
+		a.stage = sent
+	}
+	a.mu.Unlock()
+}
+
+// conn is a connection to a worker. Its own goroutine reads it all its life, so that a worker's close is
+// seen while the connection is idle.
+type conn struct {
+	net.Conn
+	addr string
+	r    *bufio.Reader
+	cur  *Attempt // guarded by the pool; nil while idle
+	lent bool     // guarded by the pool: evicted, its descriptor counts for the connection that replaces it
+}
+
+// Pool holds the connections to the workers: one exchange at a time on each, idle ones kept for reuse.
+type Pool struct {
+	budget      *Budget
+	connectTime time.Duration
+	idleTime    time.Duration // a connection idle for longer is closed, well before the worker would
+
+	mu   sync.Mutex
+	idle map[string][]*conn // newest last
+}
+
+// NewPool returns a Pool that takes its descriptors from budget.
+func NewPool(budget *Budget, connectTime, idleTime time.Duration) *Pool {
+	return &Pool{budget: budget, connectTime: connectTime, idleTime: idleTime, idle: map[string][]*conn{}}
+}
+
+// readBuffer holds a worker's whole head; longer heads are malformed.
+const readBuffer = 8 << 10
+
+// Start sends an exchange to a worker on an idle connection, or on a new one.
+func (p *Pool) Start(addr string, x Exchange) *Attempt {
+	a := &Attempt{Done: make(chan Result, 1), x: x}
+	p.mu.Lock()
+	if c := p.takeIdle(addr); c != nil {
+		c.cur = a
+		a.conn = c
+		p.mu.Unlock()
+		c.SetReadDeadline(time.Time{})
+		a.write(c)
+		return a
+	}
+	p.mu.Unlock()
+	if !p.budget.take() && !p.evict() {
+		a.settle(false, ErrCrowded)
+		return a
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), p.connectTime)
+	a.cancel = cancel
+	go p.open(ctx, addr, a)
+	return a
+}
+
+func (p *Pool) open(ctx context.Context, addr string, a *Attempt) {
+	defer a.cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.budget.give()
+		a.settle(false, err)
+		return
+	}
+	c := &conn{Conn: raw, addr: addr, r: bufio.NewReaderSize(raw, readBuffer), cur: a}
+	a.write(c)
+	p.serve(c)
+}
+
+// serve reads a connection until it ends: answers while it has an exchange, the worker's close while idle.
+func (p *Pool) serve(c *conn) {
+	defer p.close(c)
+	for {
+		_, err := c.r.Peek(1)
+		p.mu.Lock()
+		a := c.cur
+		if a == nil { // retired by its deadline, closed by the worker, or bytes that nobody asked for
+			p.forget(c)
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // taken into use just as its idle time ended
+		}
+		reuse := false
+		if err == nil {
+			reuse, err = a.x.Read(c.r)
+		}
+		if err != nil {
+			a.broke(err)
+			return
+		}
+		reuse = p.release(c, a, reuse)
+		a.settle(true, nil)
+		if !reuse {
+			return
+		}
+	}
+}
+
+func (p *Pool) close(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !c.lent {
+		p.budget.give()
+	}
+}
+
+// release makes a connection idle again, unless its answer came before the message was out or says that
+// the connection ends.
+func (p *Pool) release(c *conn, a *Attempt, reuse bool) bool {
+	a.mu.Lock()
+	whole := a.stage == sent
+	a.mu.Unlock()
+	if !reuse || !whole || c.r.Buffered() > 0 || p.idleTime <= 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.cur = nil
+	c.SetReadDeadline(time.Now().Add(p.idleTime))
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+	return true
+}
+
+// takeIdle returns the connection used last, since it is the least likely to be near its end.
+func (p *Pool) takeIdle(addr string) *conn {
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.setIdle(addr, list[:len(list)-1])
+	return c
+}
+
+func (p *Pool) setIdle(addr string, list []*conn) {
+	if len(list) == 0 {
+		delete(p.idle, addr)
+	} else {
+		p.idle[addr] = list
+	}
+}
+
+func (p *Pool) forget(c *conn) {
+	list := p.idle[c.addr]
+	for i, other := range list {
+		if other == c {
+			p.setIdle(c.addr, append(list[:i], list[i+1:]...))
+			return
+		}
+	}
+}
+
+// evict closes one idle connection to make room for another worker's, which takes over its descriptor.
+func (p *Pool) evict() bool {
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		p.setIdle(addr, list[1:])
+		list[0].lent = true
+		p.mu.Unlock()
+		list[0].Close()
+		return true
+	}
+	p.mu.Unlock()
+	return false
+}
+
+// CloseIdle closes the idle connections to a worker.
+func (p *Pool) CloseIdle(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Refused returns an Attempt that has ended before it began, for the given reason.
+func Refused(err error) *Attempt {
+	a := &Attempt{Done: make(chan Result, 1)}
+	a.settle(false, err)
+	return a
+}
