Tests in a small scenario language; an aborted delegation reports its own end

Read beside it: Abort could close a connection whose answer had just been read and that was idle or carrying another call by then. Changed: Abort closes and settles under the attempt's lock, and a connection becomes idle only after its answer is settled. TestReports found a report with a column twice taken for whole. Concluded: both were real faults.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+.PHONY: check build test lint run fuzz clean
+
+# What CI runs.
+check: lint build test
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 ./...
+
+lint:
+	@unformatted=$$(gofmt -l cmd decide internal wire); \
+	if [ -n "$$unformatted" ]; then echo "not gofmt clean: $$unformatted"; exit 1; fi
+	go vet ./...
+
+# Needs the EDGE_ variables; README.md says which.
+run: build
+	exec bin/burlpass
+
+FUZZTIME ?= 20s
+fuzz:
+	for f in FuzzRequest FuzzReply FuzzList FuzzReport; do \
+		go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZTIME) ./internal/protocol || exit 1; done
+	go test -run '^$$' -fuzz '^FuzzConfig$$' -fuzztime $(FUZZTIME) ./internal/program
+
+clean:
+	rm -rf bin logs
--- a/cmd/burlpass/main.go
+++ b/cmd/burlpass/main.go
@@ -24,7 +24,13 @@
 	if err != nil {
 		return err
 	}
+	config.Limits.Apply()
+	sidecar, err := program.New(config, log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds))
+	if err != nil {
+		return err
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	return program.Run(config, signals, log.New(os.Stderr, "", log.LstdFlags|log.Lmicroseconds))
+	sidecar.Run(signals)
+	return nil
 }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log"
 	"math"
+	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -21,47 +22,64 @@
 	idleShare   = 0.7                    // of the time after which a worker closes an idle connection
 )
 
-// Run serves until a signal arrives and everything taken has been answered.
-func Run(c *Config, signals <-chan os.Signal, logger *log.Logger) error {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Limits.Cores))))
-	debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB) * (1 << 20)))
+// Apply sets the process's own limits to what the platform grants.
+func (l Limits) Apply() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetMemoryLimit(int64(memoryShare * float64(l.MemoryMB) * (1 << 20)))
+}
 
-	clients, spare, toWorkers := transport.Split(c.Limits.Sockets)
+// Sidecar is a sidecar that listens.
+type Sidecar struct {
+	config   *Config
+	log      *log.Logger
+	listener *transport.Listener
+	pool     *transport.Pool
+}
+
+// New listens, and readies the connections' bounds, for what c says.
+func New(c *Config, logger *log.Logger) (*Sidecar, error) {
+	clients, spare, workers := transport.Split(c.Limits.Sockets)
 	listener, err := transport.Listen(c.Listen, clients, spare)
 	if err != nil {
-		return fmt.Errorf("EDGE_LISTEN: %w", err)
+		return nil, fmt.Errorf("EDGE_LISTEN: %w", err)
 	}
-	pool := transport.NewPool(transport.NewBudget(toWorkers), c.Decide.ConnectTime,
-		time.Duration(idleShare*float64(c.Decide.IdleClose)))
+	logger.Printf("event=start name=%s listen=%s registry=%s workers=%d client_sockets=%d worker_sockets=%d",
+		c.Name, listener.Addr(), c.Registry, len(c.Known.Instances), clients, workers)
+	return &Sidecar{config: c, log: logger, listener: listener,
+		pool: transport.NewPool(transport.NewBudget(workers), c.Decide.ConnectTime,
+			time.Duration(idleShare*float64(c.Decide.IdleClose)))}, nil
+}
+
+// Addr is where clients connect.
+func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
+
+// Run serves until a signal arrives and everything taken has been answered.
+func (s *Sidecar) Run(signals <-chan os.Signal) {
 	working, stop := context.WithCancel(context.Background())
 	defer stop()
-	router := routing.New(working, routing.Config{
-		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Registry: c.Registry, Log: logger,
-		Workers: &protocol.Workers{Pool: pool, Columns: c.Decide.Columns},
-	}, c.Known)
 	draining, drain := context.WithCancel(context.Background())
-	closing, shut := context.WithCancel(context.Background())
 	defer drain()
+	closing, shut := context.WithCancel(context.Background())
 	defer shut()
+	c := s.config
+	router := routing.New(working, routing.Config{
+		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Registry: c.Registry, Log: s.log,
+		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns},
+	}, c.Known)
 	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes,
-		Draining: draining, Closing: closing, Log: logger}
-
+		Draining: draining, Closing: closing, Log: s.log}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		listener.Accept(acceptor.Serve)
+		s.listener.Accept(acceptor.Serve)
 	}()
-	logger.Printf("event=start name=%s listen=%s registry=%s workers=%d client_sockets=%d worker_sockets=%d",
-		c.Name, listener.Addr(), c.Registry, len(c.Known.Instances), clients, toWorkers)
 
-	s := <-signals
-	logger.Printf("event=drain signal=%q", s)
+	s.log.Printf("event=drain signal=%q", <-signals)
 	drain()
 	time.Sleep(drainTime)
-	listener.Close()
+	s.listener.Close()
 	shut()
 	<-stopped
-	listener.Wait()
-	logger.Printf("event=stop")
-	return nil
+	s.listener.Wait()
+	s.log.Printf("event=stop")
 }
--- /dev/null
+++ b/internal/program/sidecar_test.go
@@ -0,0 +1,200 @@
+package program
+
+import (
+	"strings"
+	"testing"
+)
+
+// Each scenario says what the code guards against.
+func TestSidecar(t *testing.T) {
+	long := strings.Repeat("x", 70_000)
+	for name, s := range map[string]scenario{
+		// What names a call to the worker, and the worker's own body, must not change on the way.
+		"passes unchanged": {script: `
+			a send POST /paid-extra/q%20x?sid=1&b=%2F id=t1 key=k9 expires=2000m body=one,two
+			w1 expect POST /paid-extra/q%20x?sid=1&b=%2F id=t1 key=k9 body=one,two
+			w1 send 200 booked: {"n": 1}
+			a expect 200 booked: {"n": 1}
+			a send GET /availability/b id=t2 expires=1500000u
+			w1 expect GET /availability/b id=t2
+			w1 send "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n"
+			a expect 200 abcde`},
+		// A booking that may have run goes out again nowhere and is not called harmless to repeat; the next
+		// call being the next arrival shows that no copy came between.
+		"an unsafe call is not repeated": {script: `
+			a send POST /booking/x id=t1 expires=2000m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			w1 close
+			a expect 502
+			a send GET /availability/x id=t2 expires=2000m
+			w2 expect GET /availability/x id=t2
+			w2 send 200 ok
+			a expect 200 ok`},
+		// A safe call survives a worker's death while it is out.
+		"a safe call is repeated": {script: `
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1
+			w1 close
+			w2 expect GET /availability/x id=t1
+			w2 send 200 ok
+			a expect 200 ok`},
+		// Refused connections prove that nothing ran: even a booking may be refused, never failed.
+		"no connection": {known: "2=up", script: `
+			a send POST /booking/x id=t1 expires=100m body=b
+			a expect 503 after=1.5`},
+		// Only the header makes a worker's 503 a proof that the call never ran.
+		"turned away": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=100m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			w1 send 503 never-ran
+			a expect 503 after=1.5`},
+		"a 503 that may have run": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=2000m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			w1 send 503 busy
+			a expect 502`},
+		// Garbage from a worker is a failure after the call went out.
+		"malformed answer": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=2000m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"
+			a expect 502
+			w1 wait`},
+		// A silent worker must not cost the answer; its connection is never used again.
+		"time runs out": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=100m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			a expect 504
+			w1 wait`},
+		// The client is gone: its delegation is called off, and others are served on.
+		"client leaves": {known: "0=up", script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			a close
+			w1 wait
+			b send GET /availability/y id=t2 expires=3000m
+			w2 expect GET /availability/y id=t2
+			w2 send 200 ok
+			b expect 200 ok`},
+		// A connection that its worker has closed is not written to.
+		"worker closes an idle connection": {known: "0=up", script: `
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
+			a expect 200 ok
+			w1 wait
+			a send POST /booking/x id=t2 expires=2000m body=b
+			w2 expect POST /booking/x id=t2 body=b
+			w2 send 200 ok
+			a expect 200 ok`},
+		// Nothing new reaches a worker after its drain is told; the watch goes on by itself.
+		"drain": {script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=10000
+			registry send 2 0=draining
+			registry expect GET /catalog/members?since=2&timeout_ms=10000
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1
+			w1 send 200 ok
+			a expect 200 ok
+			registry send 3 reset 0=up
+			registry expect GET /catalog/members?since=3&timeout_ms=10000
+			a send GET /availability/x id=t2 expires=2000m
+			w1 expect GET /availability/x id=t2 at=0
+			w1 send 200 ok
+			a expect 200 ok`},
+		// Bad data leaves the old list in force, and the watch is taken up again.
+		"bad registry data": {known: "0=up", script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=10000
+			registry send "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"x\":"
+			log expect event=registry_failed
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1
+			w1 send 200 ok
+			a expect 200 ok
+			registry expect GET /catalog/members?since=1&timeout_ms=10000`},
+		// Taken calls are finished after the signal, and clients are steered away between calls.
+		"planned stop": {known: "0=up", script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			sidecar send TERM
+			log expect event=drain
+			b send GET /availability/y id=t2 expires=3000m
+			w2 expect GET /availability/y id=t2
+			w2 send 200 two
+			b expect 200 close two
+			b wait
+			c send "GET /_health HTTP/1.1\r\n\r\n"
+			c expect 503 close
+			w1 send 200 one
+			a expect 200 close one
+			sidecar wait exit`},
+		"health": {script: `
+			a send "GET /_health HTTP/1.1\r\n\r\n"
+			a expect 200 ok`},
+		"health without workers": {known: "0=draining", script: `
+			a send "GET /_health HTTP/1.1\r\n\r\n"
+			a expect 503
+			a send GET /availability/x id=t1 expires=100m
+			a expect 503 after=1.5`},
+		// At the bound of client connections a call is refused, not lost and not left waiting.
+		"crowded": {known: "0=up", sockets: 64, script: `
+			a send "GET /_health HTTP/1.1\r\n\r\n"
+			b send "GET /_health HTTP/1.1\r\n\r\n"
+			c send "GET /_health HTTP/1.1\r\n\r\n"
+			d send "GET /_health HTTP/1.1\r\n\r\n"
+			e send "GET /_health HTTP/1.1\r\n\r\n"
+			f send "GET /_health HTTP/1.1\r\n\r\n"
+			f expect 200 ok
+			g send POST /booking/x id=t1 expires=2000m body=b
+			g expect 503 after=1 close
+			g wait
+			a send POST /booking/x id=t2 expires=2000m body=b
+			w1 expect POST /booking/x id=t2 body=b`},
+		"chunked call": {known: "0=up", script: `
+			a send "POST /booking/x HTTP/1.1\r\nX-Trace-Id: t1\r\nX-Expires-In: 2000m\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+			w1 expect POST /booking/x id=t1 body=abc
+			w1 send 200 ok
+			a expect 200 ok`},
+		"expect continue": {known: "0=up", script: `
+			a send "POST /booking/x HTTP/1.1\r\nX-Trace-Id: t1\r\nX-Expires-In: 2000m\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+			a expect 100
+			a send "ab"
+			w1 expect POST /booking/x id=t1 body=ab`},
+		// A call that cannot be placed gets an answer, and the connection goes on: its framing is known.
+		"defined failures": {script: `
+			a send GET /nothing/x id=t1 expires=2000m
+			a expect 400
+			a send GET /availability/x id=t2
+			a expect 400
+			a send GET /availability/x id=t3 expires=12h
+			a expect 400
+			a send GET /availability/x expires=2000m
+			a expect 400
+			a send "HEAD /availability/x HTTP/1.1\r\n\r\n"
+			a expect 400 close`},
+		// Two answers to where a message ends let a second one hide in it.
+		"both lengths": {script: `
+			a send "POST /booking/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+			a expect 400 close
+			a wait`},
+		"conflicting lengths": {script: `
+			a send "POST /booking/x HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"
+			a expect 400 close
+			a wait`},
+		"malformed head": {script: `
+			a send "GET /availability/x HTTP/1.1\r\nno colon\r\n\r\n"
+			a expect 400 close
+			a wait`},
+		// Bounds on what one connection can make the sidecar hold.
+		"head too large": {script: `
+			a send "GET /availability/x HTTP/1.1\r\nX: ` + long + `\r\n\r\n"
+			a expect 431 close
+			a wait`},
+		"body too large": {script: `
+			a send "POST /booking/x HTTP/1.1\r\nContent-Length: 70000\r\n\r\n` + long + `"
+			a expect 413 close
+			a wait`},
+	} {
+		t.Run(name, func(t *testing.T) { t.Parallel(); play(t, s) })
+	}
+}
--- /dev/null
+++ b/internal/program/stage_test.go
@@ -0,0 +1,335 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// A scenario is a text of lines "WHO VERB WHAT", played against a whole sidecar on loopback sockets. The
+// verbs are send, expect, close and wait. WHO is a client by any name, a worker's connection (w1, w2: named
+// by the first message expected on it), registry, sidecar or log. A quoted WHAT is sent as it is; the short
+// forms are in the functions below. What arrives is read by net/http, a parser that is not the project's.
+
+// patience bounds a wait for something that never comes; no test depends on how long things take.
+const patience = 10 * time.Second
+
+// peer is one connection of the world around the sidecar.
+type peer struct {
+	net.Conn
+	got  chan string // messages read, in short form
+	gone chan struct{}
+}
+
+type arrival struct {
+	*peer
+	text string
+}
+
+type stage struct {
+	t        *testing.T
+	addr     string
+	signals  chan os.Signal
+	exited   chan struct{}
+	peers    map[string]*peer
+	workers  []string
+	arrivals map[byte]chan arrival // by the first letter of who expects
+	lines    chan string
+}
+
+// scenario is what a test plays. The zero values give two workers, both listed up.
+type scenario struct {
+	known   string // entries of the first list, as registry send takes them
+	sockets int
+	script  string
+}
+
+const settings = `{"balancers":3,"ordinal":0,"period_us":5000,"zone":0,"zones":["hall-a","hall-b"],
+"machine_types":["new","old"],"discovery":"subscribe","weights":"rough","tenants":[],
+"ceilings":{"cancelling":true,"connect_timeout_us":250000,"idle_close_us":5000000,"max_attempts":3,
+ "max_retry_after_us":1500000,"may_duplicate":false,"probing":true,"retry_after":true},
+"report":{"columns":["util","eps","queue"],"via":"pull"},
+"safety":{"answer_slack_us":20000,"ask_within_us":10000000,"drain_grace_us":750000,"fall_multiple":2.5,
+ "start_capacity":0.14,"tip_after_us":1000000,"warm_after_us":24000000},
+"classes":[
+ {"name":"availability","repeat":"safe","aim_us":600000,"deadline_us":3000000,"importance":1.0,"late_worth":0.2},
+ {"name":"booking","repeat":"unsafe","aim_us":1000000,"deadline_us":3000000,"importance":5.0,"late_worth":0.3},
+ {"name":"paid-extra","repeat":"keyed","group":"zone","dedup_window_us":12000000,"aim_us":1000000,
+  "deadline_us":2500000,"importance":10.0,"late_worth":0.25}]}`
+
+func play(t *testing.T, s scenario) {
+	t.Helper()
+	st := &stage{t: t, signals: make(chan os.Signal, 1), exited: make(chan struct{}), peers: map[string]*peer{},
+		arrivals: map[byte]chan arrival{'w': make(chan arrival, 100), 'r': make(chan arrival, 100)},
+		lines:    make(chan string, 1000)}
+	for i := range 2 {
+		st.workers = append(st.workers, st.listen('w', fmt.Sprintf(" at=%d", i)))
+	}
+	dead, err := net.Listen("tcp", "127.0.0.1:0") // an address where nobody listens
+	if err != nil {
+		t.Fatal(err)
+	}
+	st.workers = append(st.workers, dead.Addr().String())
+	dead.Close()
+	if s.known == "" {
+		s.known = "0=up 1=up"
+	}
+	if s.sockets == 0 {
+		s.sockets = 256
+	}
+	c := &Config{Name: "n0", Listen: "127.0.0.1:0", Registry: st.listen('r', "")}
+	err = c.parse([]byte(fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
+		"known":%s,"settings":%s}`, s.sockets, st.list("1 reset "+s.known), settings)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sidecar, err := New(c, log.New(st, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	st.addr = sidecar.Addr().String()
+	go func() { defer close(st.exited); sidecar.Run(st.signals) }()
+	defer func() { // a call that is still owed an answer would hold the exit up
+		for _, p := range st.peers {
+			p.Close()
+		}
+		select {
+		case st.signals <- syscall.SIGTERM:
+		default:
+		}
+		<-st.exited
+	}()
+	for n, line := range strings.Split(strings.TrimSpace(s.script), "\n") {
+		who, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+		verb, what, _ := strings.Cut(rest, " ")
+		if err := st.step(who, verb, what); err != nil {
+			t.Fatalf("line %d: %s: %v", n+1, strings.TrimSpace(line), err)
+		}
+	}
+}
+
+// Write takes the sidecar's log.
+func (st *stage) Write(b []byte) (int, error) {
+	st.lines <- string(b)
+	return len(b), nil
+}
+
+func (st *stage) step(who, verb, what string) error {
+	switch verb {
+	case "send":
+		return st.send(who, what)
+	case "expect":
+		return st.expect(who, what)
+	case "close":
+		return st.peers[who].Close()
+	case "wait": // for the other side's close, or the sidecar's exit
+		if who == "sidecar" {
+			return await(st.exited)
+		}
+		return await(st.peers[who].gone)
+	}
+	return fmt.Errorf("unknown verb %q", verb)
+}
+
+func await(c <-chan struct{}) error {
+	select {
+	case <-c:
+		return nil
+	case <-time.After(patience):
+		return fmt.Errorf("it never came")
+	}
+}
+
+func (st *stage) send(who, what string) error {
+	if who == "sidecar" {
+		st.signals <- syscall.SIGTERM
+		return nil
+	}
+	p := st.peers[who]
+	if p == nil {
+		conn, err := net.Dial("tcp", st.addr)
+		if err != nil {
+			return err
+		}
+		p = newPeer(conn)
+		st.peers[who] = p
+		go p.read(func(r *bufio.Reader) (string, error) { return readAnswer(r) }, nil)
+	}
+	raw, err := strconv.Unquote(what)
+	if err != nil {
+		switch {
+		case who == "registry":
+			raw = answer("200 " + st.list(what))
+		case who[0] == 'w':
+			raw = answer(what)
+		default:
+			raw = request(what)
+		}
+	}
+	_, err = io.WriteString(p, raw)
+	return err
+}
+
+func (st *stage) expect(who, what string) error {
+	late := time.After(patience)
+	for who == "log" {
+		select {
+		case line := <-st.lines:
+			if strings.Contains(line, what) {
+				return nil
+			}
+		case <-late:
+			return fmt.Errorf("no such line")
+		}
+	}
+	var got string
+	var from chan string
+	if p := st.peers[who]; p != nil && who[0] != 'w' && who != "registry" {
+		from = p.got
+	}
+	select {
+	case got = <-from:
+	case a := <-st.arrivals[who[0]]:
+		st.peers[who], got = a.peer, a.text
+	case <-late:
+		return fmt.Errorf("nothing came")
+	}
+	if !strings.Contains(what, " at=") {
+		got, _, _ = strings.Cut(got, " at=")
+	}
+	if diff := cmp.Diff(what, got); diff != "" {
+		return fmt.Errorf("(-want +got)\n%s", diff)
+	}
+	return nil
+}
+
+// listen plays a server whose requests go to whoever expects one under that letter.
+func (st *stage) listen(letter byte, mark string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		st.t.Fatal(err)
+	}
+	st.t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			st.t.Cleanup(func() { conn.Close() })
+			p := newPeer(conn)
+			go p.read(readRequest, func(text string) { st.arrivals[letter] <- arrival{p, text + mark} })
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func newPeer(c net.Conn) *peer {
+	return &peer{Conn: c, got: make(chan string, 100), gone: make(chan struct{})}
+}
+
+func (p *peer) read(one func(*bufio.Reader) (string, error), to func(string)) {
+	defer close(p.gone)
+	if to == nil {
+		to = func(text string) { p.got <- text }
+	}
+	for r := bufio.NewReader(p); ; {
+		text, err := one(r)
+		if err != nil {
+			return
+		}
+		to(text)
+	}
+}
+
+// readRequest gives "METHOD target id=X-Trace-Id key=Idempotency-Key body=BODY", the latter where present.
+func readRequest(r *bufio.Reader) (string, error) {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(q.Body)
+	text := q.Method + " " + q.RequestURI
+	for _, f := range [][2]string{{"id", q.Header.Get("X-Trace-Id")}, {"key", q.Header.Get("Idempotency-Key")},
+		{"body", string(body)}} {
+		if f[1] != "" {
+			text += " " + f[0] + "=" + f[1]
+		}
+	}
+	return text, err
+}
+
+// readAnswer gives "STATUS after=Retry-After close BODY", the latter where present; a body that the sidecar
+// words itself is left out.
+func readAnswer(r *bufio.Reader) (string, error) {
+	a, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(a.Body)
+	text := strconv.Itoa(a.StatusCode)
+	if v := a.Header.Get("Retry-After"); v != "" {
+		text += " after=" + v
+	}
+	if a.Close {
+		text += " close"
+	}
+	if a.StatusCode == 200 {
+		text += " " + string(body)
+	}
+	return text, err
+}
+
+// request makes a client's request of "METHOD target name=value ...".
+func request(what string) string {
+	words := strings.Fields(what)
+	class := strings.Split(words[1], "/")[1]
+	head, body := words[0]+" "+words[1]+" HTTP/1.1\r\nHost: service.internal\r\nX-Qos: "+class+"\r\n", ""
+	names := map[string]string{"id": "X-Trace-Id", "expires": "X-Expires-In", "key": "Idempotency-Key"}
+	for _, w := range words[2:] {
+		name, value, _ := strings.Cut(w, "=")
+		if name == "body" {
+			body = value
+			head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		} else {
+			head += names[name] + ": " + value + "\r\n"
+		}
+	}
+	return head + "\r\n" + body
+}
+
+// answer makes a worker's answer of "STATUS BODY"; the body never-ran stands for the header.
+func answer(what string) string {
+	status, body, _ := strings.Cut(what, " ")
+	extra := ""
+	if body == "never-ran" {
+		extra, body = "X-Never-Ran: 1\r\n", ""
+	}
+	return fmt.Sprintf("HTTP/1.1 %s OK\r\n%sContent-Length: %d\r\n\r\n%s", status, extra, len(body), body)
+}
+
+var entry = regexp.MustCompile(`(\d)=(\w+)`)
+
+// list makes the registry's JSON of "GENERATION [reset] WORKER=LIFECYCLE ...".
+func (st *stage) list(what string) string {
+	items := []string{}
+	for _, m := range entry.FindAllStringSubmatch(what, -1) {
+		n, _ := strconv.Atoi(m[1])
+		items = append(items, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":"hall-a","machineType":"new",
+			"cell":0,"lifecycle":%q,"weight":1.0,"startedAtMs":0}`, n, st.workers[n], m[2]))
+	}
+	return fmt.Sprintf(`{"generation":%s,"reset":%v,"instances":[%s]}`, strings.Fields(what)[0],
+		strings.Contains(what, "reset"), strings.Join(items, ","))
+}
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -260,9 +260,9 @@
 
 func (c *client) health() {
 	if c.Handler.Healthy() && c.Draining.Err() == nil {
-		c.write(200, nil, "", []byte("ok\n"))
+		c.write(200, nil, "", []byte("ok"))
 	} else {
-		c.write(503, nil, "", []byte("not able to serve\n"))
+		c.write(503, nil, "", []byte("not able to serve"))
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,169 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// parseRequest reads one request as the acceptor does, from a connection that gives a byte at a time.
+func parseRequest(text string) (h head, body string, err error) {
+	r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), maxHead)
+	if err = readHead(r, &h); err == nil {
+		if err = h.parse(); err == nil {
+			var b []byte
+			b, err = readBody(r, &h, nil)
+			body = string(b)
+		}
+	}
+	return h, body, err
+}
+
+// Heads that two parsers could read differently are rejected, not guessed at.
+func TestHeads(t *testing.T) {
+	for text, want := range map[string]error{
+		"GET / HTTP/1.1\r\nA: b\r\n\r\n":                                                 nil,
+		"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx":              nil,
+		"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy":             ErrMalformed,
+		"GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx":                                  ErrMalformed,
+		"GET / HTTP/1.1\r\nContent-Length: \r\n\r\nx":                                    ErrMalformed,
+		"GET / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\nx":                                ErrMalformed,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n":            ErrMalformed,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n": ErrMalformed,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\nx\r\n0\r\n\r\n":       ErrMalformed,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n":       ErrMalformed,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\n":                       ErrMalformed,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n":                  ErrBodyTooBig,
+		"GET / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n":                                ErrBodyTooBig,
+		"GET / HTTP/1.1\r\nA : b\r\n\r\n":                                                ErrMalformed,
+		"GET / HTTP/1.1\r\n: b\r\n\r\n":                                                  ErrMalformed,
+		"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n":                                           ErrMalformed,
+		"GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n":                                           ErrMalformed,
+		"GET / HTTP/1.1\r\nA: b\x00\r\n\r\n":                                             ErrMalformed,
+		"\r\n\r\n":                                                                       ErrMalformed,
+		"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", maxHead) + "\r\n\r\n":              ErrHeadTooBig,
+	} {
+		if _, _, err := parseRequest(text); !errors.Is(err, want) || err != nil && want == nil {
+			t.Errorf("%.60q: got %v, want %v", text, err, want)
+		}
+	}
+}
+
+// A wait read in the wrong unit or form would be answered too late, or thrown away.
+func TestExpires(t *testing.T) {
+	got := map[string]time.Duration{}
+	for _, v := range []string{"480m", "1500u", "0.5m", "", "m", "480", "480s", "-1m", "+1m", "0m", "NaNm", "1e3m", "99999999m", "0x1m"} {
+		if d, ok := parseExpires([]byte(v)); ok {
+			got[v] = d
+		}
+	}
+	want := map[string]time.Duration{"480m": 480 * time.Millisecond, "1500u": 1500 * time.Microsecond,
+		"0.5m": 500 * time.Microsecond}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+}
+
+// The module reads a report by position: the order is the settings', whatever the worker's.
+func TestReports(t *testing.T) {
+	columns := []string{"util", "eps", "queue"}
+	for text, want := range map[string][]float32{
+		"TEXT queue=2, util=0.5, eps=0, inflight=7": {0.5, 0, 2},
+		"TEXT queue=2, util=0.5":                    nil,
+		"TEXT queue=2, util=NaN, eps=0":             nil,
+		"TEXT queue=2, queue=3, util=1":             nil,
+		"JSON {}":                                   nil,
+	} {
+		if diff := cmp.Diff(want, parseReport([]byte(text), columns)); diff != "" {
+			t.Errorf("%s: (-want +got)\n%s", text, diff)
+		}
+	}
+}
+
+// A list is taken whole or not at all: half of one could keep a drained worker in use.
+func TestLists(t *testing.T) {
+	const good = `{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","lifecycle":"up","weight":1.5,"startedAtMs":7}`
+	list := func(items string) string { return `{"generation":4,"reset":true,"instances":[` + items + `]}` }
+	got, err := ParseList([]byte(list(good)))
+	want := &List{Generation: 4, Reset: true, Instances: []Instance{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a",
+		Lifecycle: Up, Weight: 1.5, StartedMs: 7}}}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Errorf("%v (-want +got)\n%s", err, diff)
+	}
+	for _, bad := range []string{"", "null", "{}", `{"generation":1}`, list(good + "," + good),
+		list(strings.Replace(good, "s-1", "", 1)), list(strings.Replace(good, "up", "lost", 1)),
+		list(strings.Replace(good, "127.0.0.1:1", "nowhere", 1)), list(strings.Replace(good, "1.5", "-1", 1)),
+		list(strings.Replace(good, `:7`, `:99999999999999999`, 1)), list(good) + "x"} {
+		if l, err := ParseList([]byte(bad)); err == nil {
+			t.Errorf("%s: taken as %+v", bad, l)
+		}
+	}
+}
+
+// What the parser takes, an independent one must read alike: a difference is room for a smuggled call.
+func FuzzRequest(f *testing.F) {
+	f.Add("POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi")
+	f.Add("GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2;a\r\nhi\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		h, body, err := parseRequest(text)
+		if err != nil {
+			return
+		}
+		out := bytes.Join((&request{head: &h, body: []byte(body)}).Encode("w:1", time.Second), nil)
+		if string(h.start[2]) != "HTTP/1.1" || !token(h.start[0]) {
+			return
+		}
+		q, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(out)))
+		if err != nil {
+			return // net/http is stricter on targets; the worker decides
+		}
+		if q.Method != string(h.start[0]) || q.RequestURI != string(h.start[1]) || q.Host != "w:1" && q.URL.Host == "" {
+			t.Errorf("%q became %q", text, out)
+		}
+		var b bytes.Buffer
+		if n, err := b.ReadFrom(q.Body); err != nil || b.String() != body {
+			t.Errorf("body %q became %q (%d, %v)", body, b.String(), n, err)
+		}
+	})
+}
+
+// A worker's bytes, whatever they are, end in an answer or an error, within bounds.
+func FuzzReply(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		var reply Reply
+		_, err := readReply(bufio.NewReaderSize(strings.NewReader(text), maxHead), []string{"util"}, &reply)
+		if err == nil && (len(reply.Body) > MaxBody || bytes.Contains(reply.Header, []byte("\r\n\r\n"))) {
+			t.Errorf("%q: %+v", text, reply)
+		}
+	})
+}
+
+func FuzzList(f *testing.F) {
+	f.Add([]byte(`{"generation":1,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, err := ParseList(text)
+		for i := 0; err == nil && i < len(l.Instances); i++ {
+			if l.Instances[i].check() != nil {
+				t.Errorf("%s: %+v", text, l)
+			}
+		}
+	})
+}
+
+func FuzzReport(f *testing.F) {
+	f.Add([]byte("TEXT util=0.5, eps=1"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if v := parseReport(text, []string{"util", "eps"}); v != nil && len(v) != 2 {
+			t.Errorf("%q: %v", text, v)
+		}
+	})
+}
--- a/internal/protocol/report.go
+++ b/internal/protocol/report.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"strconv"
 )
 
@@ -16,7 +17,8 @@
 	if !ok || len(columns) == 0 {
 		return nil
 	}
-	out, found := make([]float32, len(columns)), 0
+	missing := float32(math.NaN())
+	out := slices.Repeat([]float32{missing}, len(columns))
 	for pair := range bytes.SplitSeq(text, []byte(",")) {
 		name, value, _ := bytes.Cut(pair, []byte("="))
 		for i, column := range columns {
@@ -28,10 +30,9 @@
 				return nil
 			}
 			out[i] = float32(f)
-			found++
 		}
 	}
-	if found != len(columns) {
+	if slices.ContainsFunc(out, func(v float32) bool { return v != v }) {
 		return nil
 	}
 	return out
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -18,13 +18,15 @@
 	tries  int // delegations so far
 }
 
-// order puts an action into the mailbox. It is called under the router's lock and never waits: the module
-// gives each attempt one send and at most one cancel, and each call one final answer.
+// ordersPerTry bounds the orders for one attempt: its send, a cancel, and a second one when the call ends.
+const ordersPerTry = 3
+
+// order puts an action into the mailbox. It is called under the router's lock and never waits. The mailbox
+// holds all that a module may rightly order; past that an order is dropped, and the call ends as overdue.
 func (t *task) order(a decide.Action) {
 	select {
 	case t.orders <- a:
 	default:
-		panic("routing: the module gave a call more orders than its attempts allow")
 	}
 }
 
@@ -38,6 +40,9 @@
 	expired bool        // given up for that
 }
 
+// maxTries bounds a mailbox where a deployment allows attempts without end.
+const maxTries = 32
+
 // overtime is how long after a call's end the router waits for the module's own answer. The module gives
 // one at the end; that it should not is a fault, and the client is answered all the same.
 const overtime = 20 * time.Millisecond
@@ -119,7 +124,7 @@
 // enter makes a call known and tells the module of it.
 func (r *Router) enter(call *protocol.Call) *task {
 	t := &task{call: call, end: time.Now().Add(call.Budget),
-		orders: make(chan decide.Action, 2*r.Decide.Limits.MaxAttempts+2)}
+		orders: make(chan decide.Action, ordersPerTry*min(r.Decide.Limits.MaxAttempts, maxTries)+1)}
 	r.mu.Lock()
 	r.lastCall++
 	t.id = r.lastCall
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -63,38 +63,46 @@
 	return true
 }
 
-// settle gives the result once; later calls change nothing.
-func (a *Attempt) settle(isSent bool, err error) {
+// settle gives the result once; later calls change nothing. It returns the stage that it ended.
+func (a *Attempt) settle(isSent bool, err error) stage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.stage != settled {
+	return a.settleLocked(isSent, err)
+}
+
+func (a *Attempt) settleLocked(isSent bool, err error) stage {
+	was := a.stage
+	if was != settled {
 		a.stage = settled
 		a.Done <- Result{Sent: isSent, Err: err}
 	}
+	return was
 }
 
 // broke settles an attempt whose connection ended under it. A write that is still under way may be whole
 // already: until the writer says otherwise it counts as sent, the cautious reading.
 func (a *Attempt) broke(err error) {
 	a.mu.Lock()
-	s := a.stage
-	a.mu.Unlock()
-	a.settle(s == writing || s == sent, err)
+	defer a.mu.Unlock()
+	a.settleLocked(a.stage != waiting, err)
 }
 
-// Abort gives the exchange up. Its connection is closed when Abort returns and is never used again.
+// Abort gives the exchange up. Its connection is closed when Abort returns and is never used again. An
+// answer that has been read whole before stands, and its connection, which may serve another call by now,
+// stays open: that is why the close is done under the attempt's lock.
 func (a *Attempt) Abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage == settled {
+		return
+	}
 	if a.cancel != nil {
 		a.cancel()
 	}
-	a.mu.Lock()
-	c := a.conn
-	over := a.stage == settled
-	a.mu.Unlock()
-	if c != nil && !over {
-		c.Close() // returns once the descriptor is closed, so the next attempt goes out after it
+	if a.conn != nil {
+		a.conn.Close() // returns once the descriptor is closed, so the next attempt goes out after it
 	}
-	a.broke(ErrAborted)
+	a.settleLocked(a.stage != waiting, ErrAborted)
 }
 
 // write sends the message. Only the goroutine that made the attempt's connection its own calls it.
@@ -214,9 +222,8 @@
 			a.broke(err)
 			return
 		}
-		reuse = p.release(c, a, reuse)
-		a.settle(true, nil)
-		if !reuse {
+		// An answer may come before its message is out; such a connection cannot carry another.
+		if was := a.settle(true, nil); was != sent || !reuse || !p.release(c) {
 			return
 		}
 	}
@@ -231,13 +238,9 @@
 	}
 }
 
-// release makes a connection idle again, unless its answer came before the message was out or says that
-// the connection ends.
-func (p *Pool) release(c *conn, a *Attempt, reuse bool) bool {
-	a.mu.Lock()
-	whole := a.stage == sent
-	a.mu.Unlock()
-	if !reuse || !whole || c.r.Buffered() > 0 || p.idleTime <= 0 {
+// release makes a connection idle again.
+func (p *Pool) release(c *conn) bool {
+	if c.r.Buffered() > 0 || p.idleTime <= 0 {
 		return false
 	}
 	p.mu.Lock()
--- /dev/null
+++ b/internal/transport/pool_test.go
@@ -0,0 +1,100 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// server accepts connections one by one and hands them over.
+func server(t *testing.T) (addr string, conns chan net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	conns = make(chan net.Conn, 10)
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			conns <- c
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+func line(r *bufio.Reader) (bool, error) {
+	_, err := r.ReadString('\n')
+	return true, err
+}
+
+func message(ready bool) Exchange {
+	return Exchange{Message: net.Buffers{[]byte("a"), []byte("\n")}, Ready: func() bool { return ready }, Read: line}
+}
+
+func check(t *testing.T, a *Attempt, sent bool, want error) {
+	t.Helper()
+	if r := <-a.Done; r.Sent != sent || want != nil && !errors.Is(r.Err, want) || want == nil && r.Err != nil {
+		t.Errorf("got %+v, want %v %v", r, sent, want)
+	}
+}
+
+// What became unwanted while its connection was being made must not reach the worker at all.
+func TestNothingIsWrittenWhenRevoked(t *testing.T) {
+	addr, conns := server(t)
+	p := NewPool(NewBudget(1), 10*time.Second, time.Minute)
+	check(t, p.Start(addr, message(false)), false, ErrRevoked)
+	if b, err := io.ReadAll(<-conns); len(b) > 0 {
+		t.Errorf("the worker got %q (%v)", b, err)
+	}
+}
+
+// An aborted exchange has one result, and its connection is closed, not reused.
+func TestAbort(t *testing.T) {
+	addr, conns := server(t)
+	p := NewPool(NewBudget(4), 10*time.Second, time.Minute)
+	a := p.Start(addr, message(true))
+	c := <-conns
+	if s, err := bufio.NewReader(c).ReadString('\n'); s != "a\n" {
+		t.Fatal(s, err)
+	}
+	a.Abort()
+	a.Abort()
+	check(t, a, true, ErrAborted)
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection is still open")
+	}
+}
+
+// At the bound an idle connection makes room for another worker's; with none idle the exchange is refused
+// without a word about the worker.
+func TestBudget(t *testing.T) {
+	addr, conns := server(t)
+	other, others := server(t)
+	p := NewPool(NewBudget(1), 10*time.Second, time.Minute)
+	a := p.Start(addr, message(true))
+	check(t, p.Start(other, message(true)), false, ErrCrowded)
+	c := <-conns
+	io.WriteString(c, "ok\n")
+	check(t, a, true, nil)
+	b := p.Start(other, message(true))
+	io.WriteString(<-others, "ok\n")
+	check(t, b, true, nil)
+	if n := p.budget.held.Load(); n != 1 {
+		t.Errorf("%d descriptors counted, 1 held", n)
+	}
+	io.Copy(io.Discard, c) // ends: the first connection was closed
+}
+
+// An idle connection is retired by its own clock, before the worker's.
+func TestIdleConnectionsRetire(t *testing.T) {
+	addr, conns := server(t)
+	p := NewPool(NewBudget(1), 10*time.Second, time.Millisecond)
+	a := p.Start(addr, message(true))
+	c := <-conns
+	io.WriteString(c, "ok\n")
+	check(t, a, true, nil)
+	io.Copy(io.Discard, c) // ends with the retirement
+}
