Guards on rare paths: idle clients, watch pace, left calls, addresses

Seen by reading, not on the bench: a worker connection taken into use just as its idle time ended spun on an expired deadline; a client connection without a call was held for ever; a registry that answers at once would have been called without pause; a delegation waiting to connect for a client that had left relied on the module's cancel alone; an EDGE_LISTEN without a host would have listened on every address.

--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -49,9 +49,11 @@
 			return nil, fmt.Errorf("%s: missing", v.name)
 		}
 	}
-	for name, addr := range map[string]string{"EDGE_LISTEN": c.Listen, "EDGE_DISCOVERY": c.Registry} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
+	for _, v := range [][2]string{{"EDGE_LISTEN", c.Listen}, {"EDGE_DISCOVERY", c.Registry}} {
+		if host, port, err := net.SplitHostPort(v[1]); err != nil {
+			return nil, fmt.Errorf("%s: %w", v[0], err)
+		} else if _, err := strconv.ParseUint(port, 10, 16); err != nil || host == "" {
+			return nil, fmt.Errorf("%s: %q is not a host and a port", v[0], v[1])
 		}
 	}
 	text, err := os.ReadFile(path)
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	stdcmp "cmp"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,10 +16,12 @@
 // A sidecar that cannot start says in one line what is at fault.
 func TestLoadNamesTheFault(t *testing.T) {
 	for name, test := range map[string]struct {
-		unset, from, to, want string
+		unset, listen, from, to, want string
 	}{
 		"whole":             {},
 		"variable":          {unset: "EDGE_LISTEN", want: "EDGE_LISTEN: missing"},
+		"address":           {listen: "127.0.0.1:web", want: "EDGE_LISTEN"},
+		"every address":     {listen: ":3000", want: "EDGE_LISTEN"},
 		"no file":           {unset: "EDGE_CONFIG", want: "EDGE_CONFIG: missing"},
 		"not JSON":          {from: `{"seed"`, to: `{seed`, want: "EDGE_CONFIG"},
 		"seed":              {from: "8c1f30d27a5be964", to: "xyz", want: "seed"},
@@ -32,7 +35,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		env := map[string]string{"EDGE_NAME": "n0", "EDGE_LISTEN": "127.0.0.1:0", "EDGE_DISCOVERY": "127.0.0.1:1",
+		env := map[string]string{"EDGE_NAME": "n0", "EDGE_LISTEN": stdcmp.Or(test.listen, "127.0.0.1:0"), "EDGE_DISCOVERY": "127.0.0.1:1",
 			"EDGE_CONFIG": path}
 		delete(env, test.unset)
 		_, err := Load(func(k string) string { return env[k] })
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -29,6 +29,7 @@
 const (
 	healthPath   = "/_health"
 	readTime     = 10 * time.Second      // for one call, from its first byte: slow clients hold no memory for longer
+	idleTime     = 5 * time.Minute       // a client's connection without a call
 	writeTime    = 10 * time.Second      // for one answer
 	answerMargin = 10 * time.Millisecond // for the way of an answer back to its client
 	maxExpires   = time.Hour             // a longer wait is held to be garbage
@@ -92,6 +93,10 @@
 
 // await waits for a call's first byte.
 func (c *client) await() bool {
+	c.SetReadDeadline(time.Now().Add(idleTime))
+	if c.Closing.Err() != nil { // its own deadline has just been overwritten
+		return false
+	}
 	if _, err := c.r.Peek(1); err != nil {
 		return false
 	}
@@ -208,10 +213,6 @@
 	c.answer(answer)
 	c.SetReadDeadline(time.Now())
 	<-watched
-	c.SetReadDeadline(time.Time{})
-	if c.Closing.Err() != nil {
-		c.closing = true
-	}
 }
 
 func isTimeout(err error) bool {
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"burlpass/decide"
@@ -15,7 +16,8 @@
 	call   *protocol.Call
 	end    time.Time // when the client gives up
 	orders chan decide.Action
-	tries  int // delegations so far
+	tries  int         // delegations so far
+	gone   atomic.Bool // the client has left: nothing new may go out
 }
 
 // ordersPerTry bounds the orders for one attempt: its send, a cancel, and a second one when the call ends.
@@ -102,6 +104,7 @@
 
 		case <-left:
 			left = nil
+			t.gone.Store(true)
 			r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegation off
 
 		case <-overdue.C:
@@ -156,7 +159,7 @@
 		d.Attempt = transport.Refused(transport.ErrRevoked)
 		return d
 	}
-	d.Delegation = r.Workers.Start(w.addr, t.call.Message, limit, func() bool { return r.still(w) })
+	d.Delegation = r.Workers.Start(w.addr, t.call.Message, limit, func() bool { return !t.gone.Load() && r.still(w) })
 	return d
 }
 
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -23,12 +23,17 @@
 	}
 }
 
+// watchPace is the least time from one watch call to the next. A registry that answers at once, again and
+// again, is not flooded; the next call of a watch must come within 200 ms of the last answer.
+const watchPace = 100 * time.Millisecond
+
 // follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a
 // call fails. That failure is told once; the module chooses when to watch again.
 func (r *Router) follow(ctx context.Context) {
 	registry := &protocol.Registry{Addr: r.Registry}
 	defer registry.Close()
 	for {
+		next := time.After(watchPace)
 		r.mu.Lock()
 		since := r.generation
 		r.mu.Unlock()
@@ -44,6 +49,7 @@
 			return
 		}
 		r.learn(list, decide.ListDelta)
+		<-next
 	}
 }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -212,7 +212,8 @@
 		}
 		p.mu.Unlock()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			continue // taken into use just as its idle time ended
+			c.SetReadDeadline(time.Time{}) // taken into use just as its idle time ended
+			continue
 		}
 		reuse := false
 		if err == nil {
