A list no longer readmits a half-open server before its trials

The design readmits only after trial sends succeed. Test first: it fails on the old module, passes on the new.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -289,7 +289,7 @@
 		s = &server{Server: *n, stretch: 1, credit: b.rng.Float64(), lot: b.rng.Uint64()}
 		b.servers[n.ID] = s
 	}
-	restarted := n.Started != s.Started
+	restarted, half := n.Started != s.Started, s.tier != nil && s.in == &s.tier.half
 	b.move(s, nil)
 	s.Server = *n
 	s.weight = 1
@@ -307,9 +307,12 @@
 		s.strikes, s.level, s.wins, s.until, s.stretch = 0, 0, 0, 0, 1
 		s.credit = b.rng.Float64()
 	}
-	if s.until > b.now {
+	switch {
+	case half && !restarted: // a list is no proof of health, the trials go on
+		b.move(s, &s.tier.half)
+	case s.until > b.now:
 		b.move(s, &s.tier.bad)
-	} else {
+	default:
 		b.move(s, &s.tier.live)
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -120,6 +120,24 @@
 }
 
 // Full servers were once tried up to nine times a request: a refusal is retried once, on the retry budget.
+// A list that repeats what is known is no proof of health: it once readmitted a half-open server untried. A
+// restart is another process, which starts afresh.
+func TestListKeepsTrials(t *testing.T) {
+	b, list := New(testConfig(), 1), fleet(4)
+	b.Handle(0, Event{Kind: Members, Servers: list})
+	s := b.servers[list[0].ID]
+	b.move(s, &s.tier.half)
+	b.Handle(time.Second, Event{Kind: Members, Servers: list})
+	if s.in != &s.tier.half {
+		t.Error("the same list again ended the trials")
+	}
+	list[0].Started = time.Second
+	b.Handle(2*time.Second, Event{Kind: Members, Servers: list})
+	if s.in != &s.tier.live {
+		t.Error("the new process is not in use")
+	}
+}
+
 func TestFullIsRetriedOnce(t *testing.T) {
 	c := testConfig()
 	c.Limits.MaxAttempts = 9
