Outcomes that blame no worker wrongly; late answers of the registry

Seen by reading call.go and registry.go: a delegation dropped because its client had left was reported as a failed connection, three strikes against a healthy worker; a worker's answer over the bounds was a reset, though it had answered; a slow fetch could bring a drained worker back; ending a watch on the module's word told it of a failure. Each has a row in routing's new table tests; the rows for left clients, bounds and late fetches fail on the code before. Concluded: correctness, no gain claimed.

--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -23,6 +23,11 @@
 	ErrBodyTooBig = errors.New("body too large")
 )
 
+// IsMalformed tells whether an error lies in the bytes that came, not in the connection.
+func IsMalformed(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, ErrHeadTooBig) || errors.Is(err, ErrBodyTooBig)
+}
+
 func malformed(what string) error { return fmt.Errorf("%w: %s", ErrMalformed, what) }
 
 // field is one header line; both slices point into the head.
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -91,7 +91,7 @@
 		case result := <-done:
 			out.timeout.Stop()
 			done, timeout = nil, nil
-			status := out.status(result)
+			status := out.status(result, left == nil)
 			if status == decide.OK && final == nil {
 				final = &protocol.Answer{Verdict: protocol.Served, Reply: out.Reply}
 			}
@@ -172,8 +172,12 @@
 	return e
 }
 
-// status says how a delegation ended.
-func (d *delegation) status(result transport.Result) decide.Status {
+// status says how a delegation ended. One that was dropped because its client had left says nothing of the
+// worker, and must not be held against it.
+func (d *delegation) status(result transport.Result, gone bool) decide.Status {
+	if gone && !result.Sent {
+		return decide.Moot
+	}
 	if result.Err != nil {
 		return failed(result, d.expired)
 	}
@@ -196,7 +200,7 @@
 		return decide.Cancelled
 	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded):
 		return decide.Moot // says nothing of the worker
-	case result.Sent && errors.Is(result.Err, protocol.ErrMalformed):
+	case result.Sent && protocol.IsMalformed(result.Err): // the worker did answer
 		return decide.Errored
 	case result.Sent:
 		return decide.Reset
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -39,11 +39,12 @@
 		r.mu.Unlock()
 		list, err := registry.Watch(ctx, since)
 		if err != nil {
+			ended := ctx.Err() != nil // by the module or the sidecar's stop: no failure
 			r.mu.Lock()
 			r.watching = false
 			r.unwatch()
 			r.mu.Unlock()
-			if r.ctx.Err() == nil {
+			if !ended {
 				r.listFailed("watch", err)
 			}
 			return
@@ -62,7 +63,7 @@
 		r.listFailed("fetch", err)
 		return
 	}
-	r.learn(list, decide.ListDelta)
+	r.learn(list, decide.ListFull)
 }
 
 func (r *Router) listFailed(call string, err error) {
@@ -70,19 +71,19 @@
 	r.tell(decide.Event{Kind: decide.Members, List: decide.ListFailed})
 }
 
-// learn takes in a list and tells the module. kind is what the list is unless it is a whole one. Its
-// address book changes under the same lock as the module, so no choice is made between the two.
+// learn takes in a list and tells the module: the cached one of the start, a whole one that was fetched, or
+// what a watch brought, which may be either. The address book changes under the same lock as the module, so
+// no choice is made between the two.
 func (r *Router) learn(list *protocol.List, kind decide.ListKind) {
-	if list.Reset && kind == decide.ListDelta {
-		kind = decide.ListFull
-	}
 	r.mu.Lock()
-	if list.Generation < r.generation && kind != decide.ListCached {
-		// The answer of a slower call: what it says is older than what is known. The registry itself
-		// never counts back within one life; should it have lost its count, a whole list says so.
-		if !list.Reset {
-			list = &protocol.List{Generation: r.generation}
-		}
+	older := list.Generation < r.generation
+	switch {
+	case older && (kind == decide.ListFull || kind == decide.ListDelta && !list.Reset):
+		// A slower call's answer: taking it in would bring back what has drained since. The module still
+		// hears that its call succeeded.
+		list, kind = &protocol.List{Generation: r.generation}, decide.ListDelta
+	case kind == decide.ListDelta && list.Reset: // also from a registry that began anew and counts from there
+		kind = decide.ListFull
 	}
 	r.generation = list.Generation
 	servers := make([]decide.Server, 0, len(list.Instances))
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,96 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"burlpass/decide"
+	"burlpass/internal/protocol"
+	"burlpass/internal/transport"
+)
+
+// What certainly never ran may be refused or sent elsewhere; calling it that wrongly books a car twice.
+func TestOutcomes(t *testing.T) {
+	broken := errors.New("broken")
+	for name, test := range map[string]struct {
+		result        transport.Result
+		kind          protocol.Kind
+		expired, gone bool
+		want          decide.Status
+	}{
+		"served":                       {result: transport.Result{Sent: true}, want: decide.OK},
+		"turned away":                  {result: transport.Result{Sent: true}, kind: protocol.ReplyFull, want: decide.Full},
+		"error":                        {result: transport.Result{Sent: true}, kind: protocol.ReplyError, want: decide.Errored},
+		"not written whole":            {result: transport.Result{Err: broken}, want: decide.ConnectFailed},
+		"broken once written":          {result: transport.Result{Sent: true, Err: broken}, want: decide.Reset},
+		"garbage":                      {result: transport.Result{Sent: true, Err: protocol.ErrBodyTooBig}, want: decide.Errored},
+		"time out":                     {result: transport.Result{Sent: true, Err: transport.ErrAborted}, expired: true, want: decide.TimedOut},
+		"cancelled":                    {result: transport.Result{Sent: true, Err: transport.ErrAborted}, want: decide.Cancelled},
+		"time out while connecting":    {result: transport.Result{Err: transport.ErrAborted}, expired: true, want: decide.Moot},
+		"no descriptor":                {result: transport.Result{Err: transport.ErrCrowded}, want: decide.Moot},
+		"worker left the list":         {result: transport.Result{Err: transport.ErrRevoked}, want: decide.ConnectFailed},
+		"client left while connecting": {result: transport.Result{Err: transport.ErrRevoked}, gone: true, want: decide.Moot},
+	} {
+		d := delegation{expired: test.expired}
+		d.Reply = &protocol.Reply{Kind: test.kind}
+		if got := d.status(test.result, test.gone); got != test.want {
+			t.Errorf("%s: got %d, want %d", name, got, test.want)
+		}
+	}
+}
+
+// The list that a delegation is checked against: a late answer brings no drained worker back, a restart or a
+// new address is another worker, and a number once given stays.
+func TestLists(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // no watch is made
+	instance := func(id, addr string, l protocol.Lifecycle, started int64) protocol.Instance {
+		return protocol.Instance{ID: id, Addr: addr, Lifecycle: l, StartedMs: started}
+	}
+	list := func(generation uint64, reset bool, i ...protocol.Instance) *protocol.List {
+		return &protocol.List{Generation: generation, Reset: reset, Instances: i}
+	}
+	up := instance("a", "h:1", protocol.Up, 0)
+	for name, test := range map[string]struct {
+		news  *protocol.List
+		kind  decide.ListKind
+		still bool
+		up    int
+	}{
+		"nothing":             {list(5, false), decide.ListDelta, true, 2},
+		"draining":            {list(6, false, instance("a", "h:1", protocol.LifecycleDraining, 0)), decide.ListDelta, false, 1},
+		"removed":             {list(6, false, instance("a", "", protocol.Removed, 0)), decide.ListDelta, false, 1},
+		"another address":     {list(6, false, instance("a", "h:2", protocol.Up, 0)), decide.ListDelta, false, 2},
+		"restarted":           {list(6, false, instance("a", "h:1", protocol.Up, 9)), decide.ListDelta, false, 2},
+		"absent from a whole": {list(6, true, instance("b", "h:3", protocol.Up, 0)), decide.ListDelta, false, 1},
+		"late delta":          {list(4, false, instance("a", "h:2", protocol.Up, 0)), decide.ListDelta, true, 2},
+		"late fetch":          {list(4, true), decide.ListFull, true, 2},
+		"registry begun anew": {list(1, true, up), decide.ListDelta, true, 1},
+		"same again":          {list(6, true, up), decide.ListFull, true, 1},
+	} {
+		r := New(ctx, Config{Decide: decide.Config{Classes: []decide.Class{{Aim: time.Second}}},
+			Workers: &protocol.Workers{Pool: transport.NewPool(transport.NewBudget(1), time.Second, 0)},
+			Log:     log.New(io.Discard, "", 0)}, list(5, true, up, instance("b", "h:3", protocol.Up, 0)))
+		was := r.worker(1)
+		r.learn(test.news, test.kind)
+		got := []any{r.still(was), r.up, r.ids["a"]}
+		if diff := cmp.Diff([]any{test.still, test.up, decide.ServerID(1)}, got); diff != "" {
+			t.Errorf("%s: (-want +got)\n%s", name, diff)
+		}
+	}
+}
+
+// A start in Unix time and the module's clock must be one scale, and the clock must not go back.
+func TestClock(t *testing.T) {
+	before := time.Now()
+	r := &Router{origin: before}
+	if now := r.now(); now < time.Duration(before.UnixNano()) || now > time.Duration(time.Now().Add(time.Second).UnixNano()) {
+		t.Errorf("%v is not Unix time", now)
+	}
+}
