A worker's connection is idle before its answer's result is out

Seen: repeated tests hung in TestBudget: with the budget full, the next exchange was refused as crowded though the first had just ended. Whoever acted on the result could miss the connection and dial anew. Changed: both happen under the attempt's lock, idle first; Abort takes the same lock. Concluded: the fault was in the program, not in the test.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -63,20 +63,18 @@
 	return true
 }
 
-// settle gives the result once; later calls change nothing. It returns the stage that it ended.
-func (a *Attempt) settle(isSent bool, err error) stage {
+// settle gives the result once; later calls change nothing.
+func (a *Attempt) settle(isSent bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.settleLocked(isSent, err)
+	a.settleLocked(isSent, err)
 }
 
-func (a *Attempt) settleLocked(isSent bool, err error) stage {
-	was := a.stage
-	if was != settled {
+func (a *Attempt) settleLocked(isSent bool, err error) {
+	if a.stage != settled {
 		a.stage = settled
 		a.Done <- Result{Sent: isSent, Err: err}
 	}
-	return was
 }
 
 // broke settles an attempt whose connection ended under it. A write that is still under way may be whole
@@ -223,8 +221,7 @@
 			a.broke(err)
 			return
 		}
-		// An answer may come before its message is out; such a connection cannot carry another.
-		if was := a.settle(true, nil); was != sent || !reuse || !p.release(c) {
+		if !p.finish(c, a, reuse) {
 			return
 		}
 	}
@@ -239,6 +236,21 @@
 	}
 }
 
+// finish settles an exchange whose answer has been read, and tells whether its connection is idle again. It
+// is idle before the result is out, so that whoever acts on the result finds it, and both happen under the
+// attempt's lock, so that an Abort can no longer close it. An answer may come before its message is out;
+// such a connection cannot carry another.
+func (p *Pool) finish(c *conn, a *Attempt, reuse bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage == settled {
+		return false
+	}
+	kept := a.stage == sent && reuse && p.release(c)
+	a.settleLocked(true, nil)
+	return kept
+}
+
 // release makes a connection idle again.
 func (p *Pool) release(c *conn) bool {
 	if c.r.Buffered() > 0 || p.idleTime <= 0 {
