Clients at rest make room at the bound of connections instead of filling it

Now a connection without a call has 2 s before its first and 5 s between two; at the bound the one longest at rest is closed for a new one (100 ms for one that never asked, 2 s for the others); near it answers carry Connection: close. A call's reading and an answer's writing have short limits too.

--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -9,6 +9,8 @@
 	"net"
 	"strconv"
 	"time"
+
+	"burlpass/internal/transport"
 )
 
 // Handler gives every call its one answer.
@@ -28,11 +30,12 @@
 
 const (
 	healthPath   = "/_health"
-	readTime     = 10 * time.Second      // for one call, from its first byte: slow clients hold no memory for longer
-	idleTime     = 5 * time.Minute       // a client's connection without a call
-	writeTime    = 10 * time.Second      // for one answer
-	answerMargin = 10 * time.Millisecond // for the way of an answer back to its client
-	maxExpires   = time.Hour             // a longer wait is held to be garbage
+	silentTime   = 2 * time.Second         // a new connection's time for its first byte
+	readTime     = 2500 * time.Millisecond // for one call, the first one counted from its connection's begin
+	idleTime     = 5 * time.Second         // a client's connection between two calls
+	writeTime    = 2 * time.Second         // for one answer: the client is on this machine and wants it
+	answerMargin = 10 * time.Millisecond   // for the way of an answer back to its client
+	maxExpires   = time.Hour               // a longer wait is held to be garbage
 )
 
 // Acceptor serves clients over HTTP/1.1: it reads their calls, hands them to the handler, writes the answers.
@@ -47,13 +50,13 @@
 // client is one client's connection.
 type client struct {
 	*Acceptor
-	net.Conn
+	*transport.Client
 	r       *bufio.Reader
 	head    head
 	body    []byte
 	started time.Time // of the call's first byte
-	crowded bool
-	closing bool // no further call on this connection
+	asked   bool      // there has been a call before
+	closing bool      // no further call on this connection
 }
 
 // failure is an answer that needs no handler.
@@ -65,8 +68,8 @@
 func (f *failure) Error() string { return f.text }
 
 // Serve reads and answers one call after another until the connection ends.
-func (a *Acceptor) Serve(conn net.Conn, crowded bool) {
-	c := &client{Acceptor: a, Conn: conn, r: bufio.NewReaderSize(conn, maxHead), crowded: crowded}
+func (a *Acceptor) Serve(conn *transport.Client) {
+	c := &client{Acceptor: a, Client: conn, r: bufio.NewReaderSize(conn, maxHead)}
 	stop := context.AfterFunc(a.Closing, func() { conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	for !c.closing {
@@ -79,7 +82,7 @@
 			c.reject(err)
 		case call == nil:
 			c.health()
-		case crowded:
+		case conn.Crowded:
 			c.closing = true
 			c.answer(Answer{Verdict: Refused, Wait: time.Second})
 		default:
@@ -91,18 +94,25 @@
 	}
 }
 
-// await waits for a call's first byte.
+// await waits for a call's first byte. Until then the connection may be closed to make room for another.
 func (c *client) await() bool {
-	c.SetReadDeadline(time.Now().Add(idleTime))
+	wait, limit := idleTime, readTime
+	if !c.asked { // who connects and says nothing, or half of something, is owed an end in 3 s altogether
+		wait, limit = silentTime, readTime-time.Since(c.Begun)
+		c.asked = true
+	}
+	c.SetReadDeadline(time.Now().Add(wait))
 	if c.Closing.Err() != nil { // its own deadline has just been overwritten
 		return false
 	}
-	if _, err := c.r.Peek(1); err != nil {
+	c.Rest()
+	_, err := c.r.Peek(1)
+	if !c.Use() || err != nil {
 		return false
 	}
 	c.started = time.Now()
 	// With Closing done a deadline of the past stands; the call that has begun still gets its time.
-	c.SetReadDeadline(c.started.Add(readTime))
+	c.SetReadDeadline(c.started.Add(limit))
 	return true
 }
 
@@ -269,7 +279,7 @@
 
 // answer writes a call's one final answer.
 func (c *client) answer(a Answer) {
-	if c.Draining.Err() != nil {
+	if c.Draining.Err() != nil || c.Tight() {
 		c.closing = true
 	}
 	switch a.Verdict {
