SIGHUP reloads the configuration and moves the watch to the registry it names

Checked: 129 is 128 + SIGHUP, which cmd/burlpass/main.go did not ask for, so Go's default ended the process. The Router's registry address was fixed at its making (routing/registry.go); its one generation counter drops a lower one, so another registry's list would have been taken for a late answer.

Now the whole new file is checked, a fault leaves one log line, and the router moves: the watch ends without a failure, the module is told (ListMoved) and watches anew, the whole list comes first, and what comes from before the move counts for nothing. Signals are heeded until the process ends.

--- a/cmd/burlpass/main.go
+++ b/cmd/burlpass/main.go
@@ -20,6 +20,8 @@
 }
 
 func run() error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	config, err := program.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -29,8 +31,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	sidecar.Run(signals)
 	return nil
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -168,6 +168,7 @@
 	ListFailed ListKind = 1 // a Watch or Fetch failed or the subscription broke; the old list stays
 	ListDelta  ListKind = 2
 	ListCached ListKind = 3
+	ListMoved  ListKind = 4 // another discovery answers from now on; the old list stays until its own comes
 )
 
 // EventKind tells which fields of an Event count.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -238,6 +238,11 @@
 // ---- Discovery and the index of tiers. ----
 
 func (b *Balancer) members(e *Event) {
+	if e.List == ListMoved { // what failed there says nothing of this one
+		b.failures = 0
+		b.act(Action{Kind: Watch, On: true})
+		return
+	}
 	if e.List == ListFailed {
 		b.failures++
 		b.wake(b.jitter(min(watchBackoff<<min(b.failures-1, 8), watchMax)), tokWatch, 0, 0)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -407,3 +407,27 @@
 		t.Errorf("sent %.2f of the tenant beyond its share and %.2f of the other", over, within)
 	}
 }
+
+// A discovery that moved is asked at once, however long the old one has failed, and its own first failure is
+// answered with the first, short wait.
+func TestMovedDiscovery(t *testing.T) {
+	b := New(testConfig(), 1)
+	wait := func(e Event) time.Duration {
+		for _, a := range b.Handle(time.Second, e) {
+			if a.Kind == Wake || a.Kind == Watch && a.On {
+				return a.Wait
+			}
+		}
+		return -1
+	}
+	failed := Event{Kind: Members, List: ListFailed}
+	for range 5 {
+		wait(failed)
+	}
+	if w := wait(Event{Kind: Members, List: ListMoved}); w != 0 {
+		t.Errorf("asked after %v, not at once", w)
+	}
+	if w := wait(failed); w < 0 || w >= 2*watchBackoff {
+		t.Errorf("waits %v after the first failure", w)
+	}
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 
@@ -20,6 +21,7 @@
 
 // Config is what a sidecar is told at its start.
 type Config struct {
+	Path     string // of the file
 	Name     string
 	Listen   string
 	Registry string
@@ -40,58 +42,99 @@
 // Load reads the environment and the file that it names. Each error names what is at fault.
 func Load(getenv func(string) string) (*Config, error) {
 	c := &Config{}
-	var path string
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Registry}, {"EDGE_CONFIG", &path}} {
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Registry}, {"EDGE_CONFIG", &c.Path}} {
 		if *v.to = getenv(v.name); *v.to == "" {
 			return nil, fmt.Errorf("%s: missing", v.name)
 		}
 	}
 	for _, v := range [][2]string{{"EDGE_LISTEN", c.Listen}, {"EDGE_DISCOVERY", c.Registry}} {
-		if host, port, err := net.SplitHostPort(v[1]); err != nil {
+		if err := checkAddress(v[1]); err != nil {
 			return nil, fmt.Errorf("%s: %w", v[0], err)
-		} else if _, err := strconv.ParseUint(port, 10, 16); err != nil || host == "" {
-			return nil, fmt.Errorf("%s: %q is not a host and a port", v[0], v[1])
 		}
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
+	if _, err := c.read(); err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	if err := c.parse(text); err != nil {
-		return nil, fmt.Errorf("EDGE_CONFIG: %s: %w", path, err)
-	}
 	return c, nil
 }
 
-func (c *Config) parse(text []byte) error {
+func checkAddress(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if _, err := strconv.ParseUint(port, 10, 16); err != nil || host == "" {
+		return fmt.Errorf("%q is not a host and a port", addr)
+	}
+	return nil
+}
+
+// Reload reads the file again, whole, and returns the configuration that it gives now. The registry is the
+// file's; what belongs to the process stays.
+func (c *Config) Reload() (*Config, error) {
+	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen}
+	var err error
+	if next.Registry, err = next.read(); err != nil {
+		return nil, err
+	}
+	if err := checkAddress(next.Registry); err != nil {
+		return nil, fmt.Errorf("%s: discovery: %w", c.Path, err)
+	}
+	return next, nil
+}
+
+// Fixed names the parts in which another configuration differs and that take a new start to change.
+func (c *Config) Fixed(next *Config) (parts []string) {
+	if c.Limits != next.Limits {
+		parts = append(parts, "limits")
+	}
+	if !reflect.DeepEqual(c.Decide, next.Decide) || !reflect.DeepEqual(c.Names, next.Names) {
+		parts = append(parts, "settings")
+	}
+	return parts
+}
+
+// read takes in the file and returns the registry that it names.
+func (c *Config) read() (registry string, err error) {
+	text, err := os.ReadFile(c.Path)
+	if err != nil {
+		return "", err
+	}
+	if registry, err = c.parse(text); err != nil {
+		return "", fmt.Errorf("%s: %w", c.Path, err)
+	}
+	return registry, nil
+}
+
+func (c *Config) parse(text []byte) (registry string, err error) {
 	var file struct {
-		Seed     string          `json:"seed"`
-		Limits   Limits          `json:"limits"`
-		Known    json.RawMessage `json:"known"`
-		Settings json.RawMessage `json:"settings"`
+		Seed      string          `json:"seed"`
+		Discovery string          `json:"discovery"`
+		Limits    Limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return err
+		return "", err
 	}
-	var err error
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return fmt.Errorf("seed: %w", err)
+		return "", fmt.Errorf("seed: %w", err)
 	}
 	if c.Limits = file.Limits; !(c.Limits.Cores > 0) || c.Limits.MemoryMB <= 0 || c.Limits.Sockets <= 0 {
-		return errors.New("limits: cores, memory_mb and sockets must be above 0")
+		return "", errors.New("limits: cores, memory_mb and sockets must be above 0")
 	}
 	if c.Known, err = protocol.ParseList(file.Known); err != nil {
-		return fmt.Errorf("known: %w", err)
+		return "", fmt.Errorf("known: %w", err)
 	}
 	flat, err := flatten(file.Settings)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return "", fmt.Errorf("settings: %w", err)
 	}
 	if c.Decide, err = wire.ParseSettings(flat); err != nil {
-		return err
+		return "", err
 	}
 	var names struct {
 		Zones   []string                `json:"zones"`
@@ -99,13 +142,13 @@
 		Classes []struct{ Name string } `json:"classes"`
 	}
 	if err := json.Unmarshal(file.Settings, &names); err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return "", fmt.Errorf("settings: %w", err)
 	}
 	c.Names = routing.Names{Zones: names.Zones, Kinds: names.Kinds}
 	for _, k := range names.Classes {
 		c.Names.Classes = append(c.Names.Classes, k.Name)
 	}
-	return nil
+	return file.Discovery, nil
 }
 
 // flatten writes nested JSON as the path=value lines that the module's settings parser reads.
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -70,7 +70,7 @@
 	f.Add([]byte(file))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var c Config
-		if err := c.parse(text); err == nil && (c.Known == nil || len(c.Names.Classes) != len(c.Decide.Classes)) {
+		if _, err := c.parse(text); err == nil && (c.Known == nil || len(c.Names.Classes) != len(c.Decide.Classes)) {
 			t.Errorf("taken: %s", text)
 		}
 	})
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -9,6 +9,8 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
+	"syscall"
 	"time"
 
 	"burlpass/internal/protocol"
@@ -53,7 +55,8 @@
 // Addr is where clients connect.
 func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
 
-// Run serves until a signal arrives and everything taken has been answered.
+// Run serves until a signal to end arrives and everything taken has been answered. SIGHUP only reloads the
+// configuration, also between the signal to end and the end.
 func (s *Sidecar) Run(signals <-chan os.Signal) {
 	working, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -74,7 +77,7 @@
 		s.listener.Accept(acceptor.Serve)
 	}()
 
-	s.log.Printf("event=drain signal=%q", <-signals)
+	s.log.Printf("event=drain signal=%q", <-s.heed(working, signals, router))
 	drain()
 	time.Sleep(drainTime)
 	s.listener.Close()
@@ -83,3 +86,38 @@
 	s.listener.Wait()
 	s.log.Printf("event=stop")
 }
+
+// heed reloads at each SIGHUP until ctx is done, and passes on the first other signal.
+func (s *Sidecar) heed(ctx context.Context, signals <-chan os.Signal, router *routing.Router) <-chan os.Signal {
+	ending := make(chan os.Signal, 1)
+	go func() {
+		for {
+			select {
+			case signal := <-signals:
+				if signal == syscall.SIGHUP {
+					s.reload(router)
+					continue
+				}
+				select {
+				case ending <- signal:
+				default: // ending already
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ending
+}
+
+// reload takes in the file's new registry. A file with any fault changes nothing.
+func (s *Sidecar) reload(router *routing.Router) {
+	next, err := s.config.Reload()
+	if err != nil {
+		s.log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	s.log.Printf("event=reload registry=%s needs_restart=%q", next.Registry,
+		strings.Join(s.config.Fixed(next), ","))
+	router.MoveRegistry(next.Registry)
+}
--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -112,6 +112,46 @@
 			w1 send 200 ok
 			a expect 200 ok
 			registry expect GET /catalog/members?since=1&timeout_ms=10000`},
+		// A reload moves to the registry that the file names now, whole list first and whatever its count; the
+		// old one's end is no failure, which a later watch than the first would show.
+		"reload": {script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=10000
+			file send next
+			sidecar send HUP
+			next expect GET /catalog/members
+			registry wait
+			next send 0 reset 1=up
+			next expect GET /catalog/members?since=0&timeout_ms=10000
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1
+			w1 send 200 ok
+			a expect 200 ok
+			next send 1 0=up 1=draining
+			next expect GET /catalog/members?since=1&timeout_ms=10000
+			a send GET /availability/x id=t2 expires=2000m
+			w1 expect GET /availability/x id=t2 at=0`},
+		// A file with any fault changes nothing and stops nothing.
+		"reload of a bad file": {known: "0=up", script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=10000
+			file send {"discovery":"127.0.0.1:1"}
+			sidecar send HUP
+			log expect event=reload_failed
+			registry send 2 0=draining 1=up
+			registry expect GET /catalog/members?since=2&timeout_ms=10000
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1`},
+		// A reload that meets the stop ends neither early nor never.
+		"reload while stopping": {known: "0=up", script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			sidecar send TERM
+			log expect event=drain
+			file send next
+			sidecar send HUP
+			next expect GET /catalog/members
+			w1 send 200 one
+			a expect 200 close one
+			sidecar wait exit`},
 		// Taken calls are finished after the signal, and clients are steered away between calls.
 		"planned stop": {known: "0=up", script: `
 			a send GET /availability/x id=t1 expires=3000m
--- a/internal/program/stage_test.go
+++ b/internal/program/stage_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -20,7 +21,8 @@
 
 // A scenario is a text of lines "WHO VERB WHAT", played against a whole sidecar on loopback sockets. The
 // verbs are send, expect, close and wait. WHO is a client by any name, a worker's connection (w1, w2: named
-// by the first message expected on it), registry, sidecar or log. A quoted WHAT is sent as it is; the short
+// by the first message expected on it), registry, next (the registry that a reload moves to), file (the
+// configuration's), sidecar or log. A quoted WHAT is sent as it is; the short
 // forms are in the functions below. What arrives is read by net/http, a parser that is not the project's.
 
 // patience bounds a wait for something that never comes; no test depends on how long things take.
@@ -41,6 +43,8 @@
 type stage struct {
 	t        *testing.T
 	addr     string
+	path     string // of the configuration file
+	file     string // a whole one that names the next registry
 	signals  chan os.Signal
 	exited   chan struct{}
 	peers    map[string]*peer
@@ -72,7 +76,7 @@
 func play(t *testing.T, s scenario) {
 	t.Helper()
 	st := &stage{t: t, signals: make(chan os.Signal, 1), exited: make(chan struct{}), peers: map[string]*peer{},
-		arrivals: map[byte]chan arrival{'w': make(chan arrival, 100), 'r': make(chan arrival, 100)},
+		arrivals: map[byte]chan arrival{'w': make(chan arrival, 100), 'r': make(chan arrival, 100), 'n': make(chan arrival, 100)},
 		lines:    make(chan string, 1000)}
 	for i := range 2 {
 		st.workers = append(st.workers, st.listen('w', fmt.Sprintf(" at=%d", i)))
@@ -89,10 +93,11 @@
 	if s.sockets == 0 {
 		s.sockets = 256
 	}
-	c := &Config{Name: "n0", Listen: "127.0.0.1:0", Registry: st.listen('r', "")}
-	err = c.parse([]byte(fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
-		"known":%s,"settings":%s}`, s.sockets, st.list("1 reset "+s.known), settings)))
-	if err != nil {
+	c := &Config{Path: filepath.Join(t.TempDir(), "config.json"), Listen: "127.0.0.1:0", Registry: st.listen('r', "")}
+	st.path = c.Path
+	st.file = fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
+		"known":%s,"discovery":%q,"settings":%s}`, s.sockets, st.list("1 reset "+s.known), st.listen('n', ""), settings)
+	if _, err = c.parse([]byte(st.file)); err != nil {
 		t.Fatal(err)
 	}
 	sidecar, err := New(c, log.New(st, "", 0))
@@ -153,9 +158,16 @@
 }
 
 func (st *stage) send(who, what string) error {
-	if who == "sidecar" {
-		st.signals <- syscall.SIGTERM
+	switch who {
+	case "sidecar":
+		st.signals <- map[string]os.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[what]
 		return nil
+	case "file":
+		text := st.file
+		if what != "next" {
+			text = what
+		}
+		return os.WriteFile(st.path, []byte(text), 0o600)
 	}
 	p := st.peers[who]
 	if p == nil {
@@ -170,7 +182,7 @@
 	raw, err := strconv.Unquote(what)
 	if err != nil {
 		switch {
-		case who == "registry":
+		case who == "registry", who == "next":
 			raw = answer("200 " + st.list(what))
 		case who[0] == 'w':
 			raw = answer(what)
@@ -196,7 +208,7 @@
 	}
 	var got string
 	var from chan string
-	if p := st.peers[who]; p != nil && who[0] != 'w' && who != "registry" {
+	if p := st.peers[who]; p != nil && st.arrivals[who[0]] == nil {
 		from = p.got
 	}
 	select {
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -9,17 +9,51 @@
 	"burlpass/internal/protocol"
 )
 
+// subscription is one watch on the registry. Its identity tells what it brings from what an ended one brings.
+type subscription struct {
+	source
+	whole  bool // the list at hand is another registry's: the whole one comes first
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// source is where a list comes from: the registry's address, and how often that has been moved.
+type source struct {
+	addr  string
+	moves int
+}
+
+// MoveRegistry turns to the registry at another address. What the old one still answers counts for nothing,
+// and its end is no failure; the module is told and asks for the new one's list.
+func (r *Router) MoveRegistry(addr string) {
+	r.mu.Lock()
+	r.unsubscribe()
+	r.source = source{addr, r.moves + 1}
+	r.foreign = true
+	rest := r.handle(decide.Event{Kind: decide.Members, List: decide.ListMoved})
+	r.mu.Unlock()
+	r.carryOut(rest)
+}
+
 // watch starts or ends the watch on the registry.
 func (r *Router) watch(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case on && !r.watching:
-		ctx, cancel := context.WithCancel(r.ctx)
-		r.watching, r.unwatch = true, cancel
-		go r.follow(ctx)
-	case !on && r.watching:
-		r.unwatch()
+	case on && r.subscription == nil:
+		s := &subscription{source: r.source, whole: r.foreign}
+		s.ctx, s.cancel = context.WithCancel(r.ctx)
+		r.subscription = s
+		go r.follow(s)
+	case !on:
+		r.unsubscribe()
+	}
+}
+
+func (r *Router) unsubscribe() {
+	if r.subscription != nil {
+		r.subscription.cancel()
+		r.subscription = nil
 	}
 }
 
@@ -29,54 +63,77 @@
 
 // follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a
 // call fails. That failure is told once; the module chooses when to watch again.
-func (r *Router) follow(ctx context.Context) {
-	registry := &protocol.Registry{Addr: r.Registry}
+func (r *Router) follow(s *subscription) {
+	defer s.cancel()
+	registry := &protocol.Registry{Addr: s.addr}
 	defer registry.Close()
 	for {
 		next := time.After(watchPace)
-		r.mu.Lock()
-		since := r.generation
-		r.mu.Unlock()
-		list, err := registry.Watch(ctx, since)
+		var list *protocol.List
+		var err error
+		kind := decide.ListDelta
+		if s.whole {
+			list, err = registry.Fetch(s.ctx)
+			s.whole, kind = false, decide.ListFull
+		} else {
+			r.mu.Lock()
+			since := r.generation
+			r.mu.Unlock()
+			list, err = registry.Watch(s.ctx, since)
+		}
 		if err != nil {
-			ended := ctx.Err() != nil // by the module or the sidecar's stop: no failure
 			r.mu.Lock()
-			r.watching = false
-			r.unwatch()
+			current := r.subscription == s // else ended by the module or by a move: no failure
+			if current {
+				r.subscription = nil
+			}
 			r.mu.Unlock()
-			if !ended {
-				r.listFailed("watch", err)
+			if current && s.ctx.Err() == nil {
+				r.listFailed(s.source, "watch", err)
 			}
 			return
 		}
-		r.learn(list, decide.ListDelta)
+		r.learn(s.source, list, kind)
 		<-next
 	}
 }
 
 // fetch asks for the whole list once.
 func (r *Router) fetch() {
-	registry := &protocol.Registry{Addr: r.Registry}
+	r.mu.Lock()
+	from := r.source
+	r.mu.Unlock()
+	registry := &protocol.Registry{Addr: from.addr}
 	defer registry.Close()
 	list, err := registry.Fetch(r.ctx)
 	if err != nil {
-		r.listFailed("fetch", err)
+		r.listFailed(from, "fetch", err)
 		return
 	}
-	r.learn(list, decide.ListFull)
+	r.learn(from, list, decide.ListFull)
 }
 
-func (r *Router) listFailed(call string, err error) {
-	r.Log.Printf("event=registry_failed call=%s err=%q", call, err)
-	r.tell(decide.Event{Kind: decide.Members, List: decide.ListFailed})
+func (r *Router) listFailed(from source, call string, err error) {
+	r.Log.Printf("event=registry_failed registry=%s call=%s err=%q", from.addr, call, err)
+	r.mu.Lock()
+	var rest []decide.Action
+	if from == r.source {
+		rest = r.handle(decide.Event{Kind: decide.Members, List: decide.ListFailed})
+	}
+	r.mu.Unlock()
+	r.carryOut(rest)
 }
 
 // learn takes in a list and tells the module: the cached one of the start, a whole one that was fetched, or
 // what a watch brought, which may be either. The address book changes under the same lock as the module, so
-// no choice is made between the two.
-func (r *Router) learn(list *protocol.List, kind decide.ListKind) {
+// no choice is made between the two. A list of a registry that has been moved from counts for nothing.
+func (r *Router) learn(from source, list *protocol.List, kind decide.ListKind) {
 	r.mu.Lock()
-	older := list.Generation < r.generation
+	if from != r.source {
+		r.mu.Unlock()
+		return
+	}
+	older := list.Generation < r.generation && !r.foreign // another registry counts on its own
 	switch {
 	case older && (kind == decide.ListFull || kind == decide.ListDelta && !list.Reset):
 		// A slower call's answer: taking it in would bring back what has drained since. The module still
@@ -86,6 +143,7 @@
 		kind = decide.ListFull
 	}
 	r.generation = list.Generation
+	r.foreign = r.foreign && kind == decide.ListDelta
 	servers := make([]decide.Server, 0, len(list.Instances))
 	stale := []string{} // addresses whose idle connections are of no more use
 	listed := map[decide.ServerID]bool{}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -23,7 +23,7 @@
 	Seed     uint64
 	Names    Names
 	Workers  *protocol.Workers
-	Registry string // address
+	Registry string // its address at the start
 	Log      *log.Logger
 }
 
@@ -47,25 +47,27 @@
 	origin time.Time // the module's clock counts from Unix time zero, on by this one's monotonic reading
 	ctx    context.Context
 
-	mu         sync.Mutex
-	balancer   *decide.Balancer
-	calls      map[uint64]*task
-	lastCall   uint64
-	ids        map[string]decide.ServerID // stable for the life of the process
-	workers    map[decide.ServerID]*worker
-	generation uint64
-	up         int  // workers listed up
-	watching   bool // a watch is going on
-	unwatch    context.CancelFunc
+	mu       sync.Mutex
+	balancer *decide.Balancer
+	calls    map[uint64]*task
+	lastCall uint64
+	ids      map[string]decide.ServerID // stable for the life of the process
+	workers  map[decide.ServerID]*worker
+	up       int // workers listed up
+
+	source                     // where the list comes from now
+	foreign      bool          // the list at hand came from the registry before
+	generation   uint64        // of the list at hand
+	subscription *subscription // the watch that is going on, nil where there is none
 }
 
 // New returns a Router that knows the workers of the list known. It works until ctx is done.
 func New(ctx context.Context, c Config, known *protocol.List) *Router {
 	r := &Router{
-		Config: c, origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed),
+		Config: c, origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed), source: source{addr: c.Registry},
 		calls: map[uint64]*task{}, ids: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
 	}
-	r.learn(known, decide.ListCached)
+	r.learn(r.source, known, decide.ListCached)
 	return r
 }
 
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -78,7 +78,7 @@
 			Workers: &protocol.Workers{Pool: transport.NewPool(transport.NewBudget(1), time.Second, 0)},
 			Log:     log.New(io.Discard, "", 0)}, list(5, true, up, instance("b", "h:3", protocol.Up, 0)))
 		was := r.worker(1)
-		r.learn(test.news, test.kind)
+		r.learn(r.source, test.news, test.kind)
 		got := []any{r.still(was), r.up, r.ids["a"]}
 		if diff := cmp.Diff([]any{test.still, test.up, decide.ServerID(1)}, got); diff != "" {
 			t.Errorf("%s: (-want +got)\n%s", name, diff)
@@ -86,6 +86,36 @@
 	}
 }
 
+// A late answer of the registry that was moved from must not win, nor its failure count; the new one may count
+// from anywhere until its whole list is there, and then only forward.
+func TestMove(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // no watch is made
+	list := func(generation uint64, id string) *protocol.List {
+		return &protocol.List{Generation: generation, Reset: true,
+			Instances: []protocol.Instance{{ID: id, Addr: "h:1", Lifecycle: protocol.Up}}}
+	}
+	r := New(ctx, Config{Registry: "old", Decide: decide.Config{Classes: []decide.Class{{Aim: time.Second}}},
+		Workers: &protocol.Workers{Pool: transport.NewPool(transport.NewBudget(1), time.Second, 0)},
+		Log:     log.New(io.Discard, "", 0)}, list(5, "a"))
+	old := r.source
+	r.MoveRegistry("new")
+	for _, step := range []struct {
+		from source
+		list *protocol.List
+		want string
+	}{{old, list(6, "b"), "a"}, {r.source, list(2, "c"), "c"}, {old, list(7, "d"), "c"}, {r.source, list(1, "e"), "c"}} {
+		r.learn(step.from, step.list, decide.ListFull)
+		got := ""
+		for _, w := range r.workers {
+			got += w.instance
+		}
+		if got != step.want {
+			t.Errorf("after list %d of %s: got %s, want %s", step.list.Generation, step.from.addr, got, step.want)
+		}
+	}
+}
+
 // A start in Unix time and the module's clock must be one scale, and the clock must not go back.
 func TestClock(t *testing.T) {
 	before := time.Now()
