Half calls, rejected and lately answered clients make room at the bound as well

Checked: CPU 0.17 of 0.25 cores at most, memory 10 of 64 MB, so neither was the limit. First guess: half calls and lingering rejections hold slots. A trace of the listener's phases then showed 198 of 198 connections between two calls while no call was open at all: clients that ask once, in surges, within the 2 s of grace. Rejections did not heed the near-bound close either.

At fault: transport/listen.go, the grace of 2 s; protocol/acceptor.go, reject. Now at the bound a connection between two calls makes room after 250 ms; the protocol has clients ask again when a close crosses a call. A rejection near the bound ends its connection. A rejection is logged once a second, with a count.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -45,8 +45,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_LISTEN: %w", err)
 	}
-	logger.Printf("event=start name=%s listen=%s registry=%s workers=%d client_sockets=%d worker_sockets=%d",
-		c.Name, listener.Addr(), c.Registry, len(c.Known.Instances), clients, workers)
+	logger.Printf("event=start name=%s listen=%s registry=%s workers=%d client_sockets=%d worker_sockets=%d cores=%g memory_mb=%d",
+		c.Name, listener.Addr(), c.Registry, len(c.Known.Instances), clients, workers, c.Limits.Cores, c.Limits.MemoryMB)
 	return &Sidecar{config: c, log: logger, listener: listener,
 		pool: transport.NewPool(transport.NewBudget(workers), c.Decide.ConnectTime,
 			time.Duration(idleShare*float64(c.Decide.IdleClose)))}, nil
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -8,6 +8,7 @@
 	"log"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"burlpass/internal/transport"
@@ -45,6 +46,30 @@
 	Draining context.Context // done from the moment on which clients are steered away
 	Closing  context.Context // done when connections without a call are to end
 	Log      *log.Logger
+
+	rejected tally
+}
+
+// tally thins out a log line that others can bring about as often as they like.
+type tally struct {
+	mu   sync.Mutex
+	last time.Time
+	held int
+}
+
+// tallyPace is the least time between two lines.
+const tallyPace = time.Second
+
+// due tells whether a line may be written now, and how many were held back before it.
+func (t *tally) due(now time.Time) (held int, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.last) < tallyPace {
+		t.held++
+		return 0, false
+	}
+	held, t.held, t.last = t.held, 0, now
+	return held, true
 }
 
 // client is one client's connection.
@@ -77,6 +102,9 @@
 			return
 		}
 		call, err := c.read()
+		if !c.Enter(transport.Busy) {
+			return
+		}
 		switch {
 		case err != nil:
 			c.reject(err)
@@ -96,18 +124,19 @@
 
 // await waits for a call's first byte. Until then the connection may be closed to make room for another.
 func (c *client) await() bool {
-	wait, limit := idleTime, readTime
+	phase, wait, limit := transport.Resting, idleTime, readTime
 	if !c.asked { // who connects and says nothing, or half of something, is owed an end in 3 s altogether
-		wait, limit = silentTime, readTime-time.Since(c.Begun)
+		phase, wait, limit = transport.Silent, silentTime, readTime-time.Since(c.Begun)
 		c.asked = true
 	}
 	c.SetReadDeadline(time.Now().Add(wait))
 	if c.Closing.Err() != nil { // its own deadline has just been overwritten
 		return false
 	}
-	c.Rest()
-	_, err := c.r.Peek(1)
-	if !c.Use() || err != nil {
+	if !c.Enter(phase) {
+		return false
+	}
+	if _, err := c.r.Peek(1); err != nil || !c.Enter(transport.Reading) {
 		return false
 	}
 	c.started = time.Now()
@@ -247,9 +276,12 @@
 		c.closing = true
 		return
 	}
-	c.Log.Printf("event=call_rejected status=%d reason=%q", f.status, f.text)
+	if held, ok := c.rejected.due(time.Now()); ok {
+		c.Log.Printf("event=call_rejected status=%d reason=%q more=%d", f.status, f.text, held)
+	}
+	c.closing = c.closing || c.Tight()
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
-	if c.closing {
+	if c.closing && c.Enter(transport.Lingering) {
 		linger(c.Conn, c.r)
 	}
 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// A client that sends what is no call at full speed must not fill the log.
+func TestTally(t *testing.T) {
+	var a tally
+	now := time.Now()
+	got := []int{}
+	for _, after := range []time.Duration{0, 1, 2, tallyPace, tallyPace + 1, 3 * tallyPace} {
+		if held, ok := a.due(now.Add(after)); ok {
+			got = append(got, held)
+		}
+	}
+	if diff := cmp.Diff([]int{0, 2, 1}, got); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+}
+
 // What the parser takes, an independent one must read alike: a difference is room for a smuggled call.
 func FuzzRequest(f *testing.F) {
 	f.Add("POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi")
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -46,27 +46,43 @@
 const (
 	acceptPause = 5 * time.Millisecond // a listener's rest after a failure such as a lack of descriptors
 
-	// How long a connection without a call is safe from being closed to make room. Clients send as soon as
-	// they are connected; one that has asked before may be about to ask again.
-	silentGrace = 100 * time.Millisecond
-	restGrace   = 2 * time.Second
-
 	// tightShare of the limit in use by clients that do ask is when they had better not stay.
 	tightShare = 0.75
 )
 
+// Phase is what a client's connection is at. In all but Busy nothing has been taken from the client that is
+// not answered, and the connection may be closed to make room for another.
+type Phase uint8
+
+// The phases.
+const (
+	Silent    Phase = iota // no byte has come yet
+	Reading                // a call has begun to come
+	Resting                // between two calls
+	Lingering              // rejected, waiting for the client to close
+	Busy                   // a call is open
+)
+
+// graces tells for how long a connection in a phase is safe from being closed to make room. A client sends as
+// soon as it is connected, and its call comes within moments; one that has asked may be about to ask again,
+// but one with a new call waits now.
+var graces = [Busy]time.Duration{Silent: 100 * time.Millisecond, Reading: 500 * time.Millisecond,
+	Resting: 250 * time.Millisecond, Lingering: 0}
+
+// soon is how long a new client waits for another's grace to end, before it is served as crowded.
+const soon = 250 * time.Millisecond
+
 // Listener hands each client's connection to a goroutine of its own.
 type Listener struct {
 	ln      net.Listener
 	limit   int
-	grace   [2]time.Duration // silent, resting
-	slots   chan struct{}    // one for each connection, the spare ones too
+	graces  [Busy]time.Duration
+	slots   chan struct{} // one for each connection, the spare ones too
 	serving sync.WaitGroup
 
-	mu      sync.Mutex
-	open    int
-	silent  list.List // of *Client: those that have never asked, the one longest at rest first
-	resting list.List // of *Client: those between two calls, likewise
+	mu     sync.Mutex
+	open   int
+	phases [Busy]list.List // of *Client, the one longest in its phase first
 }
 
 // Client is a client's connection.
@@ -76,10 +92,10 @@
 	Crowded bool      // beyond the limit: to be told to come back, not to be served
 
 	listener *Listener
-	asked    bool // guarded by the listener's mutex, like all below
-	evicted  bool // closed to make room; no longer counted as open
+	phase    Phase // guarded by the listener's mutex, like all below
 	since    time.Time
-	place    *list.Element // in silent or resting, nil while in use
+	place    *list.Element // in the phase's list, nil while Busy
+	evicted  bool          // closed to make room; no longer counted as open
 }
 
 // Listen listens on addr for at most limit connections and a few spare ones, which are served as crowded.
@@ -88,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{ln: ln, limit: limit, grace: [2]time.Duration{silentGrace, restGrace},
+	return &Listener{ln: ln, limit: limit, graces: graces,
 		slots: make(chan struct{}, limit+spare)}, nil
 }
 
@@ -137,36 +153,36 @@
 	l.mu.Unlock()
 }
 
-// evict closes the connection that has been without a call for longest, if its grace is over, and returns 0.
-// It returns how long to wait where one will be able to make room soon, and 0 where none will.
+// evict closes the connection that has been longest in its phase, if its grace is over, and returns 0. It
+// returns how long to wait where one will be able to make room soon, and 0 where none will.
 func (l *Listener) evict() time.Duration {
-	soonest := silentGrace + 1
-	for i, from := range []*list.List{&l.silent, &l.resting} {
-		first := from.Front()
+	wait := soon + 1
+	for phase := range l.phases {
+		first := l.phases[phase].Front()
 		if first == nil {
 			continue
 		}
 		c := first.Value.(*Client)
-		left := l.grace[i] - time.Since(c.since)
+		left := l.graces[phase] - time.Since(c.since)
 		if left <= 0 {
-			l.use(c)
+			l.leave(c)
 			c.evicted = true
 			l.open--
 			c.Close()
 			return 0
 		}
-		soonest = min(soonest, left)
+		wait = min(wait, left)
 	}
-	if soonest > silentGrace {
+	if wait > soon {
 		return 0
 	}
-	return soonest
+	return wait
 }
 
 func (l *Listener) release(c *Client) {
 	c.Close()
 	l.mu.Lock()
-	l.use(c)
+	l.leave(c)
 	if !c.evicted {
 		l.open--
 	}
@@ -174,52 +190,37 @@
 	<-l.slots
 }
 
-// use takes a connection off the list of those that may make room.
-func (l *Listener) use(c *Client) {
-	if c.place == nil {
-		return
-	}
-	if c.asked {
-		l.resting.Remove(c.place)
-	} else {
-		l.silent.Remove(c.place)
+// leave takes a connection off its phase's list.
+func (l *Listener) leave(c *Client) {
+	if c.place != nil {
+		l.phases[c.phase].Remove(c.place)
+		c.place = nil
 	}
-	c.place = nil
 }
 
-// Rest says that no call is open on the connection: from now on it may be closed to make room for another.
-func (c *Client) Rest() {
+// Enter begins a phase of the connection. It returns false where the connection has been closed to make room.
+func (c *Client) Enter(phase Phase) bool {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	from := &l.silent
-	if c.asked {
-		from = &l.resting
-	}
-	c.since = time.Now()
-	c.place = from.PushBack(c)
-}
-
-// Use takes the connection into use for a call; false tells that it has been closed to make room.
-func (c *Client) Use() bool {
-	l := c.listener
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if c.place == nil {
+	if c.evicted {
 		return false
 	}
-	l.use(c)
-	c.asked = true
+	l.leave(c)
+	c.phase, c.since = phase, time.Now()
+	if phase != Busy {
+		c.place = l.phases[phase].PushBack(c)
+	}
 	return true
 }
 
 // Tight tells that so many connections are in use or between two calls that a client had better not keep its
-// own after an answer. Those that have never asked are left out: they are closed soon, whatever others do.
+// own after an answer. Those that are silent or lingering are left out: they are closed soon, whatever others do.
 func (c *Client) Tight() bool {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return float64(l.open-l.silent.Len()) > tightShare*float64(l.limit)
+	return float64(l.open-l.phases[Silent].Len()-l.phases[Lingering].Len()) > tightShare*float64(l.limit)
 }
 
 // Close stops listening; connections go on.
