A connection that breaks between a server's answers no longer ejects it

Checked: a trace of refusals had nearly all of them refused at once, untried, so it was shedding, not the bound of connections nor a lack of time. A trace by worker showed why: two of a tier's nine servers in use, the other seven ejected though they answered 30 to 60 calls a second. Ruled out: servers that turn calls away.

At fault: decide/decide.go, judge: each Reset was a hard strike and ejected for 4 s, doubled each time. Now a break within 1 s of an answer counts but ejects only with the next failure. A failed connect ejects as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,10 +22,11 @@
 	overdueDevs  = 3               // mean deviations past the mean at which an attempt is overdue
 	retryShare   = 0.05            // retry budget: retries earned by each request
 	retryBurst   = 1.0             // and the most that can be saved up
+	answerFresh  = time.Second     // an answer that recent outweighs one broken connection
 	softEject    = time.Second     // a first unanswered attempt keeps a server out this long
 	baseEject    = 4 * time.Second // ejection after repeated or hard failures, doubled each time
 	maxEject     = 32 * time.Second
-	hardStrike   = 3   // evidence of a connection failed or reset; 2 ejects, less only suspends
+	hardStrike   = 3   // evidence of a failed connection; 2 ejects, less suspends
 	trialWins    = 2   // answers a half-open server must give; one alone is weak evidence
 	trialChance  = 0.5 // chance that a safe request is used as a trial when one is due
 	panicShare   = 0.5 // soft evidence never leaves less than this share of a tier's weight in use
@@ -657,7 +658,7 @@
 		b.learnLatency(k, lat)
 		b.sample(s, (lat-k.base)/slack)
 		b.learnSpeed(s, k, lat)
-		s.strikes = 0
+		s.strikes, s.okAt = 0, b.now
 		s.tier.heard(b.now)
 		if s.in == &s.tier.half && !t.overdue {
 			if s.wins++; s.wins >= trialWins {
@@ -681,9 +682,12 @@
 		if t.overdue {
 			b.strike(s, 1)
 		}
-	case ConnectFailed, Reset:
+	case ConnectFailed:
 		b.miss(s)
 		b.strike(s, hardStrike)
+	case Reset:
+		b.miss(s)
+		b.broke(s)
 	case Errored:
 		b.strike(s, 1)
 	}
@@ -742,6 +746,16 @@
 	return 0
 }
 
+// broke counts a connection that broke under an attempt. Single ones happen to every server: between answers
+// they prove nothing. A dead process breaks all its connections, and the second one proves it.
+func (b *Balancer) broke(s *server) {
+	if s.in == &s.tier.live && s.strikes == 0 && s.okAt > 0 && b.now-s.okAt < answerFresh {
+		s.strikes++
+		return
+	}
+	b.strike(s, hardStrike)
+}
+
 // strike counts evidence against a server and ejects it. Evidence that overload gives as well (no answer
 // in time) never ejects past the panic threshold.
 func (b *Balancer) strike(s *server, n int) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -431,3 +431,31 @@
 		t.Errorf("waits %v after the first failure", w)
 	}
 }
+
+// A worker's connection now and then breaks under a request. Ejecting for each once left two of twelve servers
+// that answered well. A dead process is known by its second break.
+func TestOneBreakIsNoProof(t *testing.T) {
+	for name, test := range map[string]struct {
+		silence time.Duration
+		ends    []Status
+		in      bool
+	}{
+		"one between answers":  {0, []Status{Reset, OK, Reset, OK, Reset}, true},
+		"two in a row":         {0, []Status{Reset, Reset}, false},
+		"none answered lately": {2 * answerFresh, []Status{Reset}, false},
+		"a failed connect":     {0, []Status{ConnectFailed}, false},
+	} {
+		b, now := New(testConfig(), 1), time.Hour
+		b.Handle(now, Event{Kind: Members, Servers: fleet(1)})
+		for id, end := range append([]Status{OK}, test.ends...) {
+			if id == 1 {
+				now += test.silence
+			}
+			b.Handle(now, Event{Kind: Request, ID: uint64(id), Budget: time.Second})
+			b.Handle(now, Event{Kind: Outcome, ID: uint64(id), Server: 100, Status: end, Latency: ms, Done: true})
+		}
+		if s := b.servers[100]; (s.in == &s.tier.live) != test.in {
+			t.Errorf("%s: in use %v, want %v", name, !test.in, test.in)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -37,7 +37,8 @@
 	level   int // ejections in a row
 	wins    int // answers while half-open
 	until   time.Duration
-	seen    time.Duration // of the last answer
+	okAt    time.Duration // of the last answer
+	seen    time.Duration // of what the stretch was last learned from
 	stretch float64       // latency against that of the class, averaged
 	lot     uint64        // place in the tier's order
 	credit  float64       // sends that a warming server may be given, see earn
