Unreadable answers are told apart from errors, and early bytes are never an answer

Checked: a trace of raw answers. Everything spoilt is found malformed by the parser (noise, heads without end, conflicting or negative lengths, 3 GB); what is behind good answers comes with them in one piece and ends the connection. So nothing wrong was served, and nothing came unasked on an idle connection there.

At fault: routing/call.go, failed: a malformed answer became Errored, a strike that ejects a healthy server; and decide.go, outcome: repeating it waited for the retry budget. Now Spoilt is an outcome of its own: no strike but for four in a row, repeated where lawful. Late outcomes of a process that has gone or restarted judge nobody.

A worker that left the list while a connection was made is Moot, not a failed connect.

--- a/decide/api.go
+++ b/decide/api.go
@@ -157,6 +157,7 @@
 	Reset         Status = 5
 	Cancelled     Status = 6
 	Moot          Status = 7
+	Spoilt        Status = 8 // an answer came that nobody can read; what it answers has run
 )
 
 // ListKind says what a Members event carries.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,6 +27,7 @@
 	baseEject    = 4 * time.Second // ejection after repeated or hard failures, doubled each time
 	maxEject     = 32 * time.Second
 	hardStrike   = 3   // evidence of a failed connection; 2 ejects, less suspends
+	spoiltRun    = 4   // unreadable answers in a row that count as a failure
 	trialWins    = 2   // answers a half-open server must give; one alone is weak evidence
 	trialChance  = 0.5 // chance that a safe request is used as a trial when one is due
 	panicShare   = 0.5 // soft evidence never leaves less than this share of a tier's weight in use
@@ -541,7 +542,7 @@
 	if s.tier.since == 0 {
 		s.tier.since = b.now // silence counts from the first attempt
 	}
-	r.tries = append(r.tries, attempt{s: s, sent: b.now, open: true})
+	r.tries = append(r.tries, attempt{s: s, started: s.Started, sent: b.now, open: true})
 	r.out++
 	b.out++
 	s.out++
@@ -621,12 +622,13 @@
 	t.open = false
 	r.out--
 	b.out--
-	s.out--
-	if t.overdue {
+	if s.out--; t.overdue {
 		s.overdue--
 	}
 	t.ran = e.Status != Full && e.Status != ConnectFailed && e.Status != Moot
-	b.judge(r, t, e)
+	if t.started == s.Started && s.State != Gone { // else the process that it tells of is no more
+		b.judge(r, t, e)
+	}
 	if e.Done || r.over {
 		b.finish(r)
 		return
@@ -634,7 +636,8 @@
 	if r.out > 0 {
 		return
 	}
-	cheap := e.Status == ConnectFailed || r.resend // soon seen, or already paid for
+	// Soon seen, or already paid for, or no sign of load.
+	cheap := e.Status == ConnectFailed || e.Status == Moot || e.Status == Spoilt || r.resend
 	r.resend = false
 	if b.now >= r.end || b.late(r) || len(r.tries) >= b.c.Limits.MaxAttempts || !cheap && b.tokens < 1 {
 		b.answer(r)
@@ -658,7 +661,7 @@
 		b.learnLatency(k, lat)
 		b.sample(s, (lat-k.base)/slack)
 		b.learnSpeed(s, k, lat)
-		s.strikes, s.okAt = 0, b.now
+		s.strikes, s.spoilt, s.okAt = 0, 0, b.now
 		s.tier.heard(b.now)
 		if s.in == &s.tier.half && !t.overdue {
 			if s.wins++; s.wins >= trialWins {
@@ -682,14 +685,16 @@
 		if t.overdue {
 			b.strike(s, 1)
 		}
-	case ConnectFailed:
-		b.miss(s)
-		b.strike(s, hardStrike)
-	case Reset:
+	case ConnectFailed, Reset:
 		b.miss(s)
-		b.broke(s)
+		b.broke(s, e.Status)
 	case Errored:
 		b.strike(s, 1)
+	case Spoilt: // the server works; only one that spoils answer after answer is no use
+		s.tier.heard(b.now)
+		if s.spoilt++; s.spoilt >= spoiltRun {
+			b.strike(s, hardStrike)
+		}
 	}
 }
 
@@ -746,10 +751,10 @@
 	return 0
 }
 
-// broke counts a connection that broke under an attempt. Single ones happen to every server: between answers
-// they prove nothing. A dead process breaks all its connections, and the second one proves it.
-func (b *Balancer) broke(s *server) {
-	if s.in == &s.tier.live && s.strikes == 0 && s.okAt > 0 && b.now-s.okAt < answerFresh {
+// broke counts a connection that failed, or broke under an attempt. Single breaks happen to every server:
+// between answers they prove nothing. A dead process breaks all its connections; the second one proves it.
+func (b *Balancer) broke(s *server, how Status) {
+	if how == Reset && s.in == &s.tier.live && s.strikes == 0 && s.okAt > 0 && b.now-s.okAt < answerFresh {
 		s.strikes++
 		return
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -444,6 +444,8 @@
 		"two in a row":         {0, []Status{Reset, Reset}, false},
 		"none answered lately": {2 * answerFresh, []Status{Reset}, false},
 		"a failed connect":     {0, []Status{ConnectFailed}, false},
+		"unreadable answers":   {0, []Status{Spoilt, Spoilt, Spoilt, OK, Spoilt}, true},
+		"nothing else":         {0, []Status{Spoilt, Spoilt, Spoilt, Spoilt}, false},
 	} {
 		b, now := New(testConfig(), 1), time.Hour
 		b.Handle(now, Event{Kind: Members, Servers: fleet(1)})
@@ -459,3 +461,36 @@
 		}
 	}
 }
+
+// A process that has gone or restarted leaves outcomes behind; they say nothing of the one that follows it.
+func TestLateOutcomes(t *testing.T) {
+	b, list, now := New(testConfig(), 1), fleet(1), time.Hour
+	b.Handle(now, Event{Kind: Members, Servers: list})
+	b.Handle(now, Event{Kind: Request, ID: 1, Budget: time.Second})
+	b.Handle(now, Event{Kind: Request, ID: 2, Budget: time.Second})
+	list[0].Started = now - time.Minute
+	b.Handle(now, Event{Kind: Members, Servers: list})
+	for id := range uint64(2) {
+		b.Handle(now, Event{Kind: Outcome, ID: id + 1, Server: 100, Status: Reset, Latency: ms, Done: true})
+	}
+	if s := b.servers[100]; s.in != &s.tier.live || s.strikes > 0 || s.out > 0 {
+		t.Errorf("in use %v, strikes %d, out %d", s.in == &s.tier.live, s.strikes, s.out)
+	}
+}
+
+// A spoilt answer is no sign of load: what may be repeated is sent elsewhere without regard to the budget.
+func TestSpoiltIsRepeated(t *testing.T) {
+	for class, want := range map[int]bool{0: true, 1: false} {
+		c := testConfig()
+		c.Classes = []Class{{Aim: time.Second, Worth: 1}, {Aim: time.Second, Worth: 1, Effect: Unsafe}}
+		b := New(c, 1)
+		b.Handle(time.Hour, Event{Kind: Members, Servers: fleet(4)})
+		b.tokens = 0
+		to := b.Handle(time.Hour, Event{Kind: Request, ID: 1, Class: class, Budget: time.Second})[0].Server
+		b.tokens = 0
+		acts := b.Handle(time.Hour, Event{Kind: Outcome, ID: 1, Server: to, Status: Spoilt, Latency: ms})
+		if len(acts) == 0 || (acts[0].Kind == Send) != want {
+			t.Errorf("class %d: %+v", class, acts)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -36,6 +36,7 @@
 	strikes int // failures since the last answer
 	level   int // ejections in a row
 	wins    int // answers while half-open
+	spoilt  int // unreadable answers since the last good one
 	until   time.Duration
 	okAt    time.Duration // of the last answer
 	seen    time.Duration // of what the stretch was last learned from
@@ -68,6 +69,7 @@
 
 type attempt struct {
 	s       *server
+	started time.Duration // of the server's process then
 	sent    time.Duration
 	open    bool
 	ran     bool // closed, and it may have run
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// Interim responses are passed over, but not for ever: a worker that sends nothing else would cost all CPU.
+func TestInterim(t *testing.T) {
+	for n, ok := range map[int]bool{0: true, 1: true, maxInterim: true, maxInterim + 1: false} {
+		text := strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", n) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		if _, err := readReply(bufio.NewReader(strings.NewReader(text)), nil, &Reply{}); (err == nil) != ok {
+			t.Errorf("%d interim responses: %v", n, err)
+		}
+	}
+}
+
 // A client that sends what is no call at full speed must not fill the log.
 func TestTally(t *testing.T) {
 	var a tally
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -72,9 +72,12 @@
 // CloseIdle closes the idle connections to a worker.
 func (w *Workers) CloseIdle(addr string) { w.Pool.CloseIdle(addr) }
 
+// maxInterim bounds the interim responses before a final one.
+const maxInterim = 8
+
 // readResponse reads the head of a final response; interim ones are passed over.
 func readResponse(r *bufio.Reader, h *head) (status int, err error) {
-	for {
+	for range maxInterim + 1 {
 		if err := readHead(r, h); err != nil {
 			return 0, err
 		}
@@ -92,6 +95,7 @@
 			return 0, malformed("unasked switch of protocols")
 		}
 	}
+	return 0, malformed("interim responses without end")
 }
 
 // readReply reads a worker's whole answer.
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -198,10 +198,11 @@
 		return decide.TimedOut
 	case errors.Is(result.Err, transport.ErrAborted) && result.Sent:
 		return decide.Cancelled
-	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded):
+	case result.Sent && (protocol.IsMalformed(result.Err) || errors.Is(result.Err, transport.ErrEarly)):
+		return decide.Spoilt // the worker did answer
+	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded),
+		errors.Is(result.Err, transport.ErrRevoked), errors.Is(result.Err, transport.ErrEarly):
 		return decide.Moot // says nothing of the worker
-	case result.Sent && protocol.IsMalformed(result.Err): // the worker did answer
-		return decide.Errored
 	case result.Sent:
 		return decide.Reset
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,9 +6,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +20,7 @@
 	ErrAborted = errors.New("given up by the caller")
 	ErrRevoked = errors.New("no longer wanted when its connection was there")
 	ErrCrowded = errors.New("no descriptor left for a connection")
+	ErrEarly   = errors.New("an answer began before its message was out")
 )
 
 // Exchange is one message to a worker and the reading of its answer. It is protocol-neutral.
@@ -46,6 +50,7 @@
 type Attempt struct {
 	Done   chan Result
 	x      Exchange
+	wrote  chan struct{}      // closed when the message is out or has failed
 	cancel context.CancelFunc // ends a dial; nil on an idle connection
 
 	mu    sync.Mutex
@@ -103,8 +108,13 @@
 	a.settleLocked(a.stage != waiting, ErrAborted)
 }
 
+// wholeWrite is the length up to which a message goes out in one piece. Of a longer one the last byte is kept
+// back until it is certain that no answer has begun.
+const wholeWrite = 8 << 10
+
 // write sends the message. Only the goroutine that made the attempt's connection its own calls it.
 func (a *Attempt) write(c *conn) {
+	defer close(a.wrote)
 	if a.x.Ready != nil && !a.x.Ready() {
 		a.settle(false, ErrRevoked)
 		c.Close()
@@ -114,14 +124,15 @@
 		c.Close()
 		return
 	}
-	want := 0
-	for _, b := range a.x.Message {
-		want += len(b)
+	message := a.x.Message
+	if size(message) > wholeWrite {
+		first, last := keepLast(message)
+		if !a.send(c, first, false) {
+			return
+		}
+		message = net.Buffers{last}
 	}
-	n, err := a.x.Message.WriteTo(c.Conn)
-	if err != nil {
-		a.settle(int(n) >= want, err)
-		c.Close()
+	if !a.send(c, message, true) {
 		return
 	}
 	a.mu.Lock()
@@ -131,16 +142,98 @@
 	a.mu.Unlock()
 }
 
+// send writes a part of the message, unless an answer has begun to come, which cannot be the answer to it.
+func (a *Attempt) send(c *conn, part net.Buffers, isLast bool) bool {
+	if !c.quiet() {
+		a.settle(false, ErrEarly)
+		c.Close()
+		return false
+	}
+	want := size(part)
+	n, err := part.WriteTo(c.Conn)
+	if err != nil {
+		a.settle(isLast && n >= want, err)
+		c.Close()
+		return false
+	}
+	return true
+}
+
+func size(message net.Buffers) (n int64) {
+	for _, b := range message {
+		n += int64(len(b))
+	}
+	return n
+}
+
+// keepLast cuts the last byte off a message.
+func keepLast(message net.Buffers) (first net.Buffers, last []byte) {
+	first = slices.Clone(message)
+	for i := len(first) - 1; i >= 0; i-- {
+		if n := len(first[i]); n > 0 {
+			first[i], last = first[i][:n-1], first[i][n-1:]
+			break
+		}
+	}
+	return first, last
+}
+
 // conn is a connection to a worker. Its own goroutine reads it all its life, so that a worker's close is
 // seen while the connection is idle.
 type conn struct {
 	net.Conn
 	addr string
+	raw  syscall.RawConn
 	r    *bufio.Reader
 	cur  *Attempt // guarded by the pool; nil while idle
+	dead bool     // guarded by the pool: ended while idle
 	lent bool     // guarded by the pool: evicted, its descriptor counts for the connection that replaces it
 }
 
+func newConn(c net.Conn, addr string, a *Attempt) (*conn, error) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, addr: addr, raw: raw, r: bufio.NewReaderSize(c, readBuffer), cur: a}, nil
+}
+
+// await waits until there is something to read, and reads nothing: until then quiet sees all that has come.
+func (c *conn) await() error {
+	var state error
+	err := c.raw.Read(func(fd uintptr) bool {
+		state = peek(fd)
+		return !errors.Is(state, syscall.EAGAIN)
+	})
+	if err != nil {
+		return err
+	}
+	return state
+}
+
+// quiet tells that nothing has come on an idle connection: not its end, and no bytes, which would be taken for
+// the answer to the next message.
+func (c *conn) quiet() bool {
+	state := error(nil)
+	err := c.raw.Control(func(fd uintptr) { state = peek(fd) })
+	return err == nil && errors.Is(state, syscall.EAGAIN)
+}
+
+// peek returns nil where there are bytes to read, EAGAIN where there is nothing yet.
+func peek(fd uintptr) error {
+	var b [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case err == nil && n == 0:
+			return io.EOF
+		}
+		return err
+	}
+}
+
 // Pool holds the connections to the workers: one exchange at a time on each, idle ones kept for reuse.
 type Pool struct {
 	budget      *Budget
@@ -161,17 +254,12 @@
 
 // Start sends an exchange to a worker on an idle connection, or on a new one.
 func (p *Pool) Start(addr string, x Exchange) *Attempt {
-	a := &Attempt{Done: make(chan Result, 1), x: x}
-	p.mu.Lock()
-	if c := p.takeIdle(addr); c != nil {
-		c.cur = a
-		a.conn = c
-		p.mu.Unlock()
+	a := &Attempt{Done: make(chan Result, 1), x: x, wrote: make(chan struct{})}
+	if c := p.reuse(addr, a); c != nil {
 		c.SetReadDeadline(time.Time{})
 		a.write(c)
 		return a
 	}
-	p.mu.Unlock()
 	if !p.budget.take() && !p.evict() {
 		a.settle(false, ErrCrowded)
 		return a
@@ -182,6 +270,30 @@
 	return a
 }
 
+// reuse makes an idle connection the attempt's own, if there is one on which nothing has come.
+func (p *Pool) reuse(addr string, a *Attempt) *conn {
+	for {
+		p.mu.Lock()
+		c := p.takeIdle(addr)
+		p.mu.Unlock()
+		if c == nil {
+			return nil
+		}
+		if !c.quiet() {
+			c.Close()
+			continue
+		}
+		p.mu.Lock()
+		if !c.dead {
+			c.cur = a
+		}
+		p.mu.Unlock()
+		if c.cur == a {
+			return c
+		}
+	}
+}
+
 func (p *Pool) open(ctx context.Context, addr string, a *Attempt) {
 	defer a.cancel()
 	var d net.Dialer
@@ -191,7 +303,13 @@
 		a.settle(false, err)
 		return
 	}
-	c := &conn{Conn: raw, addr: addr, r: bufio.NewReaderSize(raw, readBuffer), cur: a}
+	c, err := newConn(raw, addr, a)
+	if err != nil {
+		raw.Close()
+		p.budget.give()
+		a.settle(false, err)
+		return
+	}
 	a.write(c)
 	p.serve(c)
 }
@@ -200,11 +318,12 @@
 func (p *Pool) serve(c *conn) {
 	defer p.close(c)
 	for {
-		_, err := c.r.Peek(1)
+		err := c.await()
 		p.mu.Lock()
 		a := c.cur
 		if a == nil { // retired by its deadline, closed by the worker, or bytes that nobody asked for
 			p.forget(c)
+			c.dead = true
 			p.mu.Unlock()
 			return
 		}
@@ -213,6 +332,7 @@
 			c.SetReadDeadline(time.Time{}) // taken into use just as its idle time ended
 			continue
 		}
+		<-a.wrote // what came before that was seen there
 		reuse := false
 		if err == nil {
 			reuse, err = a.x.Read(c.r)
@@ -238,15 +358,14 @@
 
 // finish settles an exchange whose answer has been read, and tells whether its connection is idle again. It
 // is idle before the result is out, so that whoever acts on the result finds it, and both happen under the
-// attempt's lock, so that an Abort can no longer close it. An answer may come before its message is out;
-// such a connection cannot carry another.
+// attempt's lock, so that an Abort can no longer close it.
 func (p *Pool) finish(c *conn, a *Attempt, reuse bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stage == settled {
 		return false
 	}
-	kept := a.stage == sent && reuse && p.release(c)
+	kept := reuse && p.release(c)
 	a.settleLocked(true, nil)
 	return kept
 }
