Ids that come again are rejected; connections and numbers belong to one life of a worker

Now an id counts as taken for 4 to 8 s; a header that decides and comes twice, and a class that differs from the path, are rejected; idle connections are keyed by address and life; a worker that has gone is forgotten.

--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -246,6 +246,24 @@
 			a expect 400
 			a send "HEAD /availability/x HTTP/1.1\r\n\r\n"
 			a expect 400 close`},
+		// An id that is out already, or was just now, is another client's call: no second copy of it may go out.
+		"the id of another call": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=3000m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			b send POST /booking/x id=t1 expires=3000m body=b
+			b expect 409
+			w1 send 200 ok
+			a expect 200 ok
+			b send POST /booking/x id=t1 expires=3000m body=b
+			b expect 409
+			b send POST /booking/x id=t2 expires=3000m body=b
+			w1 expect POST /booking/x id=t2 body=b`},
+		// What sidecar and worker could read differently decides whether a call may be repeated.
+		"two readings": {script: `
+			a send POST /booking/x id=t1 id=t2 expires=3000m
+			a expect 400
+			a send "POST /booking/x HTTP/1.1\r\nX-Qos: availability\r\nX-Trace-Id: t3\r\nX-Expires-In: 1m\r\n\r\n"
+			a expect 400`},
 		// Two answers to where a message ends let a second one hide in it.
 		"both lengths": {script: `
 			a send "POST /booking/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"hash/maphash"
 	"log"
 	"net"
 	"strconv"
@@ -26,6 +27,7 @@
 	headerTrace   = "X-Trace-Id"
 	headerExpires = "X-Expires-In"
 	headerRepeat  = "X-Second-Try"
+	headerKey     = "Idempotency-Key"
 	headerUnrun   = "X-Never-Ran"
 )
 
@@ -48,6 +50,41 @@
 	Log      *log.Logger
 
 	rejected tally
+	traces   traces
+}
+
+// traces remembers the ids of the calls of late. An id is fresh on every call; one that comes again is another
+// client's, and passing it on would be a second copy of that client's call.
+type traces struct {
+	mu      sync.Mutex
+	seed    maphash.Seed
+	turned  time.Time
+	of, old map[uint64]struct{} // hashes of the ids since turned, and of those before
+}
+
+// traceMemory is the least time for which an id is remembered, longer than a call may take.
+const traceMemory = 4 * time.Second
+
+// take tells whether an id is new, and remembers it.
+func (t *traces) take(id []byte, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.of == nil {
+		t.seed = maphash.MakeSeed()
+	}
+	if t.of == nil || now.Sub(t.turned) >= traceMemory {
+		if now.Sub(t.turned) >= 2*traceMemory {
+			t.of = nil
+		}
+		t.of, t.old, t.turned = map[uint64]struct{}{}, t.of, now
+	}
+	h := maphash.Bytes(t.seed, id)
+	_, known := t.of[h]
+	if _, before := t.old[h]; known || before {
+		return false
+	}
+	t.of[h] = struct{}{}
+	return true
 }
 
 // tally thins out a log line that others can bring about as often as they like.
@@ -113,6 +150,8 @@
 		case conn.Crowded:
 			c.closing = true
 			c.answer(Answer{Verdict: Refused, Wait: time.Second})
+		case !a.traces.take(c.head.get(headerTrace), c.started):
+			c.reject(&failure{409, "the id of another call"})
 		default:
 			c.serve(call)
 		}
@@ -185,9 +224,14 @@
 
 // call makes the protocol-neutral call of what has been read.
 func (c *client) call(path []byte) (*Call, error) {
-	name := c.head.get(headerClass)
-	if name == nil {
-		name, _, _ = bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
+	for _, name := range []string{headerClass, headerTrace, headerExpires, headerKey} {
+		if c.head.count(name) > 1 { // sidecar and worker could each take another
+			return nil, &failure{400, name + " more than once"}
+		}
+	}
+	name, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte("/")), []byte("/"))
+	if v := c.head.get(headerClass); v != nil && !bytes.Equal(v, name) {
+		return nil, &failure{400, "class and path differ"}
 	}
 	class := -1
 	for i, k := range c.Classes {
@@ -332,7 +376,7 @@
 
 var statusLines = map[int]string{
 	200: "HTTP/1.1 200 OK\r\n", 400: "HTTP/1.1 400 Bad Request\r\n",
-	408: "HTTP/1.1 408 Request Timeout\r\n", 413: "HTTP/1.1 413 Content Too Large\r\n",
+	408: "HTTP/1.1 408 Request Timeout\r\n", 409: "HTTP/1.1 409 Conflict\r\n", 413: "HTTP/1.1 413 Content Too Large\r\n",
 	431: "HTTP/1.1 431 Request Header Fields Too Large\r\n", 502: "HTTP/1.1 502 Bad Gateway\r\n",
 	503: "HTTP/1.1 503 Service Unavailable\r\n", 504: "HTTP/1.1 504 Gateway Timeout\r\n",
 }
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -146,6 +146,16 @@
 	return nil
 }
 
+// count tells how many headers have that name.
+func (h *head) count(name string) (n int) {
+	for i := range h.fields {
+		if is(h.fields[i].name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // hopByHop headers belong to one connection and are written anew on the next.
 var hopByHop = [...]string{"Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "TE", "Trailer",
 	"Upgrade", "Expect", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization"}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// An id is remembered for longer than a call may take, and not for ever.
+func TestTraces(t *testing.T) {
+	var a traces
+	now := time.Now()
+	got := []bool{}
+	for _, after := range []time.Duration{0, 1, traceMemory - 1, traceMemory + 1, 3 * traceMemory, 5 * traceMemory} {
+		got = append(got, a.take([]byte("t1"), now.Add(after)))
+	}
+	if diff := cmp.Diff([]bool{true, false, false, false, true, true}, got); diff != "" || len(a.of)+len(a.old) > 2 {
+		t.Errorf("%d remembered (-want +got)\n%s", len(a.of)+len(a.old), diff)
+	}
+}
+
 // Interim responses are passed over, but not for ever: a worker that sends nothing else would cost all CPU.
 func TestInterim(t *testing.T) {
 	for n, ok := range map[int]bool{0: true, 1: true, maxInterim: true, maxInterim + 1: false} {
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -60,17 +60,17 @@
 }
 
 // Start sends a message to a worker. ready is asked last thing before the first byte goes out.
-func (w *Workers) Start(addr string, m Message, remaining time.Duration, ready func() bool) Delegation {
+func (w *Workers) Start(peer transport.Peer, m Message, remaining time.Duration, ready func() bool) Delegation {
 	reply := &Reply{}
-	return Delegation{Reply: reply, Attempt: w.Pool.Start(addr, transport.Exchange{
-		Message: net.Buffers(m.Encode(addr, remaining)),
+	return Delegation{Reply: reply, Attempt: w.Pool.Start(peer, transport.Exchange{
+		Message: net.Buffers(m.Encode(peer.Addr, remaining)),
 		Ready:   ready,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
 	})}
 }
 
 // CloseIdle closes the idle connections to a worker.
-func (w *Workers) CloseIdle(addr string) { w.Pool.CloseIdle(addr) }
+func (w *Workers) CloseIdle(peer transport.Peer) { w.Pool.CloseIdle(peer) }
 
 // maxInterim bounds the interim responses before a final one.
 const maxInterim = 8
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -159,7 +159,7 @@
 		d.Attempt = transport.Refused(transport.ErrRevoked)
 		return d
 	}
-	d.Delegation = r.Workers.Start(w.addr, t.call.Message, limit, func() bool { return !t.gone.Load() && r.still(w) })
+	d.Delegation = r.Workers.Start(w.peer, t.call.Message, limit, func() bool { return !t.gone.Load() && r.still(w) })
 	return d
 }
 
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -7,6 +7,7 @@
 
 	"burlpass/decide"
 	"burlpass/internal/protocol"
+	"burlpass/internal/transport"
 )
 
 // subscription is one watch on the registry. Its identity tells what it brings from what an ended one brings.
@@ -145,17 +146,17 @@
 	r.generation = list.Generation
 	r.foreign = r.foreign && kind == decide.ListDelta
 	servers := make([]decide.Server, 0, len(list.Instances))
-	stale := []string{} // addresses whose idle connections are of no more use
+	stale := []transport.Peer{} // whose idle connections are of no more use
 	listed := map[decide.ServerID]bool{}
 	for i := range list.Instances {
 		w, s := r.describe(&list.Instances[i])
 		listed[w.id] = true
 		servers = append(servers, s)
 		if old := r.workers[w.id]; old != nil && (w.state != decide.Ready || *old != *w) {
-			stale = append(stale, old.addr)
+			stale = append(stale, old.peer)
 		}
 		if w.state == decide.Gone {
-			delete(r.workers, w.id)
+			r.forget(w)
 		} else {
 			r.workers[w.id] = w
 		}
@@ -163,8 +164,8 @@
 	if kind != decide.ListDelta {
 		for id, w := range r.workers {
 			if !listed[id] {
-				stale = append(stale, w.addr)
-				delete(r.workers, id)
+				stale = append(stale, w.peer)
+				r.forget(w)
 			}
 		}
 	}
@@ -181,8 +182,8 @@
 		r.Log.Printf("event=list generation=%d entries=%d whole=%v up=%d", list.Generation,
 			len(list.Instances), kind != decide.ListDelta, up)
 	}
-	for _, addr := range stale {
-		r.Workers.CloseIdle(addr)
+	for _, peer := range stale {
+		r.Workers.CloseIdle(peer)
 	}
 	r.carryOut(rest)
 }
@@ -191,7 +192,8 @@
 func (r *Router) describe(i *protocol.Instance) (*worker, decide.Server) {
 	id, known := r.ids[i.ID]
 	if !known {
-		id = decide.ServerID(len(r.ids) + 1)
+		r.lastID++
+		id = r.lastID
 		r.ids[i.ID] = id
 	}
 	state := decide.Gone
@@ -201,13 +203,26 @@
 	case protocol.LifecycleDraining:
 		state = decide.Draining
 	}
-	w := &worker{id: id, instance: i.ID, addr: i.Addr, state: state, startedMs: i.StartedMs}
+	w := &worker{id: id, instance: i.ID, peer: transport.Peer{Addr: i.Addr}, state: state, startedMs: i.StartedMs}
+	if old := r.workers[id]; old != nil && old.peer.Addr == i.Addr && old.startedMs == i.StartedMs {
+		w.peer.Life = old.peer.Life
+	} else {
+		r.lives++
+		w.peer.Life = r.lives
+	}
 	return w, decide.Server{
 		ID: id, Started: time.Duration(i.StartedMs) * time.Millisecond, Cell: i.Cell, State: state,
 		Zone: position(r.Names.Zones, i.Zone), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
 	}
 }
 
+// forget drops a worker that is no longer listed. Should its instance come back, it is another worker: a table of
+// all that ever were would grow for as long as workers are replaced.
+func (r *Router) forget(w *worker) {
+	delete(r.workers, w.id)
+	delete(r.ids, w.instance)
+}
+
 // position is a name's place in the settings; an unknown one gets the place after the last.
 func position(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -15,6 +15,7 @@
 
 	"burlpass/decide"
 	"burlpass/internal/protocol"
+	"burlpass/internal/transport"
 )
 
 // Config is what a Router is made of.
@@ -36,7 +37,7 @@
 type worker struct {
 	id        decide.ServerID
 	instance  string
-	addr      string
+	peer      transport.Peer
 	state     decide.State
 	startedMs int64
 }
@@ -51,7 +52,9 @@
 	balancer *decide.Balancer
 	calls    map[uint64]*task
 	lastCall uint64
-	ids      map[string]decide.ServerID // stable for the life of the process
+	ids      map[string]decide.ServerID // of the listed workers; a number is never given again
+	lastID   decide.ServerID
+	lives    uint64 // of workers' processes, so far
 	workers  map[decide.ServerID]*worker
 	up       int // workers listed up
 
@@ -123,7 +126,7 @@
 			go r.fetch()
 		case decide.Close:
 			if w := r.worker(a.Server); w != nil {
-				r.Workers.CloseIdle(w.addr)
+				r.Workers.CloseIdle(w.peer)
 			}
 		case decide.Log:
 			r.Log.Printf("event=decision text=%q", a.Text)
@@ -150,7 +153,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.workers[w.id]
-	return now != nil && now.state == decide.Ready && now.addr == w.addr && now.startedMs == w.startedMs
+	return now != nil && now.state == decide.Ready && now.peer == w.peer
 }
 
 // probeTime bounds a probe; a worker answers one only after what waits before it.
@@ -161,7 +164,7 @@
 	e := decide.Event{Kind: decide.Probed, Server: id, Status: decide.ConnectFailed}
 	begun := time.Now()
 	if w := r.worker(id); w != nil {
-		d := r.Workers.Start(w.addr, protocol.Probe(), probeTime, func() bool { return r.still(w) })
+		d := r.Workers.Start(w.peer, protocol.Probe(), probeTime, func() bool { return r.still(w) })
 		late := time.AfterFunc(probeTime, d.Abort)
 		result := <-d.Done
 		onTime := late.Stop()
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -47,7 +47,7 @@
 }
 
 // The list that a delegation is checked against: a late answer brings no drained worker back, a restart or a
-// new address is another worker, and a number once given stays.
+// new address is another worker, and nothing is kept of one that has gone.
 func TestLists(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel() // no watch is made
@@ -80,8 +80,8 @@
 			Log:     log.New(io.Discard, "", 0)}, list(5, true, up, instance("b", "h:3", protocol.Up, 0)))
 		was := r.worker(1)
 		r.learn(r.source, test.news, test.kind)
-		got := []any{r.still(was), r.up, r.ids["a"]}
-		if diff := cmp.Diff([]any{test.still, test.up, decide.ServerID(1)}, got); diff != "" {
+		got := []any{r.still(was), r.up, len(r.ids)}
+		if diff := cmp.Diff([]any{test.still, test.up, len(r.workers)}, got); diff != "" {
 			t.Errorf("%s: (-want +got)\n%s", name, diff)
 		}
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -178,11 +178,18 @@
 	return first, last
 }
 
+// Peer is the other side of a connection: one life of a process at an address. What was connected to another
+// process there before is no use to it.
+type Peer struct {
+	Addr string
+	Life uint64
+}
+
 // conn is a connection to a worker. Its own goroutine reads it all its life, so that a worker's close is
 // seen while the connection is idle.
 type conn struct {
 	net.Conn
-	addr string
+	peer Peer
 	raw  syscall.RawConn
 	r    *bufio.Reader
 	cur  *Attempt // guarded by the pool; nil while idle
@@ -190,12 +197,12 @@
 	lent bool     // guarded by the pool: evicted, its descriptor counts for the connection that replaces it
 }
 
-func newConn(c net.Conn, addr string, a *Attempt) (*conn, error) {
+func newConn(c net.Conn, peer Peer, a *Attempt) (*conn, error) {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, addr: addr, raw: raw, r: bufio.NewReaderSize(c, readBuffer), cur: a}, nil
+	return &conn{Conn: c, peer: peer, raw: raw, r: bufio.NewReaderSize(c, readBuffer), cur: a}, nil
 }
 
 // await waits until there is something to read, and reads nothing: until then quiet sees all that has come.
@@ -241,21 +248,21 @@
 	idleTime    time.Duration // a connection idle for longer is closed, well before the worker would
 
 	mu   sync.Mutex
-	idle map[string][]*conn // newest last
+	idle map[Peer][]*conn // newest last
 }
 
 // NewPool returns a Pool that takes its descriptors from budget.
 func NewPool(budget *Budget, connectTime, idleTime time.Duration) *Pool {
-	return &Pool{budget: budget, connectTime: connectTime, idleTime: idleTime, idle: map[string][]*conn{}}
+	return &Pool{budget: budget, connectTime: connectTime, idleTime: idleTime, idle: map[Peer][]*conn{}}
 }
 
 // readBuffer holds a worker's whole head; longer heads are malformed.
 const readBuffer = 8 << 10
 
 // Start sends an exchange to a worker on an idle connection, or on a new one.
-func (p *Pool) Start(addr string, x Exchange) *Attempt {
+func (p *Pool) Start(peer Peer, x Exchange) *Attempt {
 	a := &Attempt{Done: make(chan Result, 1), x: x, wrote: make(chan struct{})}
-	if c := p.reuse(addr, a); c != nil {
+	if c := p.reuse(peer, a); c != nil {
 		c.SetReadDeadline(time.Time{})
 		a.write(c)
 		return a
@@ -266,15 +273,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.connectTime)
 	a.cancel = cancel
-	go p.open(ctx, addr, a)
+	go p.open(ctx, peer, a)
 	return a
 }
 
 // reuse makes an idle connection the attempt's own, if there is one on which nothing has come.
-func (p *Pool) reuse(addr string, a *Attempt) *conn {
+func (p *Pool) reuse(peer Peer, a *Attempt) *conn {
 	for {
 		p.mu.Lock()
-		c := p.takeIdle(addr)
+		c := p.takeIdle(peer)
 		p.mu.Unlock()
 		if c == nil {
 			return nil
@@ -294,16 +301,16 @@
 	}
 }
 
-func (p *Pool) open(ctx context.Context, addr string, a *Attempt) {
+func (p *Pool) open(ctx context.Context, peer Peer, a *Attempt) {
 	defer a.cancel()
 	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := d.DialContext(ctx, "tcp", peer.Addr)
 	if err != nil {
 		p.budget.give()
 		a.settle(false, err)
 		return
 	}
-	c, err := newConn(raw, addr, a)
+	c, err := newConn(raw, peer, a)
 	if err != nil {
 		raw.Close()
 		p.budget.give()
@@ -379,34 +386,34 @@
 	defer p.mu.Unlock()
 	c.cur = nil
 	c.SetReadDeadline(time.Now().Add(p.idleTime))
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[c.peer] = append(p.idle[c.peer], c)
 	return true
 }
 
 // takeIdle returns the connection used last, since it is the least likely to be near its end.
-func (p *Pool) takeIdle(addr string) *conn {
-	list := p.idle[addr]
+func (p *Pool) takeIdle(peer Peer) *conn {
+	list := p.idle[peer]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.setIdle(addr, list[:len(list)-1])
+	p.setIdle(peer, list[:len(list)-1])
 	return c
 }
 
-func (p *Pool) setIdle(addr string, list []*conn) {
+func (p *Pool) setIdle(peer Peer, list []*conn) {
 	if len(list) == 0 {
-		delete(p.idle, addr)
+		delete(p.idle, peer)
 	} else {
-		p.idle[addr] = list
+		p.idle[peer] = list
 	}
 }
 
 func (p *Pool) forget(c *conn) {
-	list := p.idle[c.addr]
+	list := p.idle[c.peer]
 	for i, other := range list {
 		if other == c {
-			p.setIdle(c.addr, append(list[:i], list[i+1:]...))
+			p.setIdle(c.peer, append(list[:i], list[i+1:]...))
 			return
 		}
 	}
@@ -415,8 +422,8 @@
 // evict closes one idle connection to make room for another worker's, which takes over its descriptor.
 func (p *Pool) evict() bool {
 	p.mu.Lock()
-	for addr, list := range p.idle {
-		p.setIdle(addr, list[1:])
+	for peer, list := range p.idle {
+		p.setIdle(peer, list[1:])
 		list[0].lent = true
 		p.mu.Unlock()
 		list[0].Close()
@@ -427,10 +434,10 @@
 }
 
 // CloseIdle closes the idle connections to a worker.
-func (p *Pool) CloseIdle(addr string) {
+func (p *Pool) CloseIdle(peer Peer) {
 	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
+	list := p.idle[peer]
+	delete(p.idle, peer)
 	p.mu.Unlock()
 	for _, c := range list {
 		c.Close()
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -10,7 +10,7 @@
 )
 
 // server accepts connections one by one and hands them over.
-func server(t *testing.T) (addr string, conns chan net.Conn) {
+func server(t *testing.T) (peer Peer, conns chan net.Conn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -22,7 +22,7 @@
 			conns <- c
 		}
 	}()
-	return ln.Addr().String(), conns
+	return Peer{Addr: ln.Addr().String()}, conns
 }
 
 func line(r *bufio.Reader) (bool, error) {
@@ -110,7 +110,7 @@
 func TestUnaskedBytes(t *testing.T) {
 	addr, conns := server(t)
 	p := NewPool(NewBudget(2), 10*time.Second, time.Minute)
-	raw, err := net.Dial("tcp", addr)
+	raw, err := net.Dial("tcp", addr.Addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -145,3 +145,16 @@
 	}()
 	check(t, p.Start(addr, x), false, ErrEarly) // the last byte never goes out
 }
+
+// A process that took over an address is not sent to on a connection to the one before it.
+func TestLives(t *testing.T) {
+	peer, conns := server(t)
+	p := NewPool(NewBudget(2), 10*time.Second, time.Minute)
+	a := p.Start(peer, message(true))
+	reply(<-conns)
+	check(t, a, true, nil)
+	peer.Life++
+	a = p.Start(peer, message(true))
+	reply(<-conns)
+	check(t, a, true, nil)
+}
