Kept connections that break judge no worker; servers on trial are tried in every zone

Checked: traces by worker and by delegation. All twelve servers were ejected for it; two of the own zone then took everything, and the other zone's stood half-open for seconds.

At fault: routing/call.go, failed: a break on a kept connection was a Reset like any other; decide.go, broke and pick: one failed connect ejected, and only a tier that draws reach had trials. Now such a break is Stale, an outcome that judges nobody and is repeated where lawful; the first failure of either kind after a fresh answer is borne; trials come before the draws, in every tier.

--- a/decide/api.go
+++ b/decide/api.go
@@ -158,6 +158,7 @@
 	Cancelled     Status = 6
 	Moot          Status = 7
 	Spoilt        Status = 8 // an answer came that nobody can read; what it answers has run
+	Stale         Status = 9 // a connection kept from before broke: it says little of the server, and it may have run
 )
 
 // ListKind says what a Members event carries.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -398,13 +398,13 @@
 		}
 		return b.draw(b.zones[first.s.Zone], r, true)
 	}
+	for i := range b.tiers { // before any draw: a tier that no draw reaches must come back too
+		if s := b.trial(&b.tiers[i], r); s != nil {
+			return s
+		}
+	}
 	for i := range b.tiers {
 		t := &b.tiers[i]
-		if len(r.tries) == 0 {
-			if s := b.trial(t, r); s != nil {
-				return s
-			}
-		}
 		if able := b.able(t) * headroom; able < 1 && b.rng.Float64() >= able {
 			continue
 		}
@@ -475,7 +475,8 @@
 
 // trial offers a half-open server one request at a time, one that is safe to repeat if there are any.
 func (b *Balancer) trial(t *tier, r *request) *server {
-	if len(t.half.list) == 0 || b.anySafe && r.class.Effect != Safe || b.rng.Float64() >= trialChance {
+	risky := b.anySafe && r.class.Effect != Safe
+	if len(r.tries) > 0 || len(t.half.list) == 0 || risky || b.rng.Float64() >= trialChance {
 		return nil
 	}
 	s := t.half.list[b.rng.IntN(len(t.half.list))]
@@ -637,7 +638,7 @@
 		return
 	}
 	// Soon seen, or already paid for, or no sign of load.
-	cheap := e.Status == ConnectFailed || e.Status == Moot || e.Status == Spoilt || r.resend
+	cheap := e.Status == ConnectFailed || e.Status >= Moot || r.resend
 	r.resend = false
 	if b.now >= r.end || b.late(r) || len(r.tries) >= b.c.Limits.MaxAttempts || !cheap && b.tokens < 1 {
 		b.answer(r)
@@ -687,7 +688,7 @@
 		}
 	case ConnectFailed, Reset:
 		b.miss(s)
-		b.broke(s, e.Status)
+		b.broke(s)
 	case Errored:
 		b.strike(s, 1)
 	case Spoilt: // the server works; only one that spoils answer after answer is no use
@@ -744,17 +745,10 @@
 	}
 }
 
-func (b *Balancer) rank(t *tier) int {
-	if t == &b.tiers[0] {
-		return 1
-	}
-	return 0
-}
-
 // broke counts a connection that failed, or broke under an attempt. Single breaks happen to every server:
 // between answers they prove nothing. A dead process breaks all its connections; the second one proves it.
-func (b *Balancer) broke(s *server, how Status) {
-	if how == Reset && s.in == &s.tier.live && s.strikes == 0 && s.okAt > 0 && b.now-s.okAt < answerFresh {
+func (b *Balancer) broke(s *server) {
+	if s.in == &s.tier.live && s.strikes == 0 && s.okAt > 0 && b.now-s.okAt < answerFresh {
 		s.strikes++
 		return
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// rank is a tier's rank as the design counts it.
+func (b *Balancer) rank(t *tier) int {
+	if t == &b.tiers[0] {
+		return 1
+	}
+	return 0
+}
+
 func (r *request) tried(s *server) bool {
 	for i := range r.tries {
 		if r.tries[i].s == s {
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -203,6 +203,8 @@
 	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded),
 		errors.Is(result.Err, transport.ErrRevoked), errors.Is(result.Err, transport.ErrEarly):
 		return decide.Moot // says nothing of the worker
+	case result.Sent && result.Kept: // its worker may have closed it meanwhile
+		return decide.Stale
 	case result.Sent:
 		return decide.Reset
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -29,6 +29,7 @@
 		"error":                        {result: transport.Result{Sent: true}, kind: protocol.ReplyError, want: decide.Errored},
 		"not written whole":            {result: transport.Result{Err: broken}, want: decide.ConnectFailed},
 		"broken once written":          {result: transport.Result{Sent: true, Err: broken}, want: decide.Reset},
+		"broken on a kept connection":  {result: transport.Result{Sent: true, Kept: true, Err: broken}, want: decide.Stale},
 		"garbage":                      {result: transport.Result{Sent: true, Err: protocol.ErrBodyTooBig}, want: decide.Spoilt},
 		"answer before the message":    {result: transport.Result{Sent: true, Err: transport.ErrEarly}, want: decide.Spoilt},
 		"time out":                     {result: transport.Result{Sent: true, Err: transport.ErrAborted}, expired: true, want: decide.TimedOut},
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -34,6 +34,7 @@
 // went out, so that the worker cannot have started on it.
 type Result struct {
 	Sent bool
+	Kept bool // it went over a connection kept from an exchange before
 	Err  error
 }
 
@@ -50,6 +51,7 @@
 type Attempt struct {
 	Done   chan Result
 	x      Exchange
+	kept   bool               // on a connection kept from an exchange before
 	wrote  chan struct{}      // closed when the message is out or has failed
 	cancel context.CancelFunc // ends a dial; nil on an idle connection
 
@@ -78,7 +80,7 @@
 func (a *Attempt) settleLocked(isSent bool, err error) {
 	if a.stage != settled {
 		a.stage = settled
-		a.Done <- Result{Sent: isSent, Err: err}
+		a.Done <- Result{Sent: isSent, Kept: a.kept, Err: err}
 	}
 }
 
@@ -291,11 +293,12 @@
 			continue
 		}
 		p.mu.Lock()
-		if !c.dead {
-			c.cur = a
+		alive := !c.dead
+		if alive {
+			c.cur, a.kept = a, true
 		}
 		p.mu.Unlock()
-		if c.cur == a {
+		if alive {
 			return c
 		}
 	}
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -146,6 +146,24 @@
 	check(t, p.Start(addr, x), false, ErrEarly) // the last byte never goes out
 }
 
+// A kept connection that breaks is told apart: its worker may have closed it just before.
+func TestKept(t *testing.T) {
+	peer, conns := server(t)
+	p := NewPool(NewBudget(1), 10*time.Second, time.Minute)
+	a := p.Start(peer, message(true))
+	c := <-conns
+	reply(c)
+	if r := <-a.Done; r.Kept {
+		t.Error("a new connection counts as kept")
+	}
+	a = p.Start(peer, message(true))
+	io.ReadFull(c, make([]byte, 2))
+	c.Close()
+	if r := <-a.Done; !r.Kept || !r.Sent || r.Err == nil {
+		t.Errorf("got %+v", r)
+	}
+}
+
 // A process that took over an address is not sent to on a connection to the one before it.
 func TestLives(t *testing.T) {
 	peer, conns := server(t)
