--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: check build test lint run fuzz clean
+.PHONY: check build test lint run demo fuzz clean
 
 # What CI runs.
 check: lint build test
@@ -18,6 +18,10 @@
 run: build
 	exec bin/burlpass
 
+# A short day of the laboratory with this program as the sidecars: what a newcomer runs first.
+demo: build
+	bin/burlpass lab run scenarios/small-day.toml
+
 FUZZTIME ?= 20s
 fuzz:
 	for f in FuzzRequest FuzzReply FuzzList FuzzReport; do \
--- /dev/null
+++ b/internal/lab/stage/faults.go
@@ -0,0 +1,302 @@
+package stage
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"burlpass/internal/lab/world"
+)
+
+// script carries out the plan's steps at their times.
+func (s *stage) script(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	rude := map[int]context.CancelFunc{}
+	for _, step := range s.plan.Steps {
+		if !s.sleepUntil(step.At) {
+			break
+		}
+		if s.plan.Faults[step.Fault].Kind == "rude" {
+			if step.Begin {
+				c, cancel := context.WithCancel(ctx)
+				rude[step.Fault] = cancel
+				running.Go(func() { s.rude(c, s.plan.Faults[step.Fault].Count) })
+			} else {
+				rude[step.Fault]()
+			}
+			continue
+		}
+		running.Go(func() { s.step(step) })
+		time.Sleep(time.Millisecond) // steps of one moment begin in their order
+	}
+	for _, cancel := range rude {
+		cancel()
+	}
+}
+
+// defaultRestart is how long a killed or replaced process takes to come back where the script says nothing.
+const defaultRestart = 500 * time.Millisecond
+
+func (s *stage) step(step world.Step) {
+	f := &s.plan.Faults[step.Fault]
+	extra := f.Extra
+	if extra == 0 {
+		extra = defaultRestart
+	}
+	switch f.Kind {
+	case "registry_lag":
+		s.registry.lag(f.Extra, step.Begin)
+	case "registry_down":
+		s.registry.fail(step.Begin)
+	case "kill", "term", "reload":
+		s.meetSidecars(f.Kind, step, extra)
+	case "hall_loss":
+		if f.With {
+			go s.hallSidecars(step)
+		}
+		for _, n := range step.Workers {
+			s.hallWorker(n, f.Silent, step.Begin)
+		}
+	case "shrink":
+		s.shrink(step, f.Extra)
+	case "replace":
+		for i, n := range step.Workers {
+			s.replace(n, s.plan.Replacement(step.Fault, i), extra)
+		}
+	default:
+		for _, n := range step.Workers {
+			s.hosts[n].meet(f.Kind, f.Size, step.Begin)
+		}
+	}
+}
+
+// meet begins or ends a fault of one worker. Faults of a kind overlap: the last to end clears it.
+func (h *host) meet(kind string, size float64, begin bool) {
+	switch kind {
+	case "hang":
+		h.stall(begin)
+	case "silence":
+		h.silence(begin)
+	case "slow":
+		h.mu.Lock()
+		h.slows = change(h.slows, size, begin)
+		share := 1.0
+		for _, s := range h.slows {
+			share = min(share, s)
+		}
+		h.mu.Unlock()
+		h.slow(share)
+	case "probe_lie":
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if begin {
+			h.lie++
+		} else {
+			h.lie--
+		}
+	case "reset", "spoil", "overlong":
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.sizes[kind] = change(h.sizes[kind], size, begin)
+		h.shares[kind] = 0
+		for _, s := range h.sizes[kind] {
+			h.shares[kind] = max(h.shares[kind], s)
+		}
+	}
+}
+
+// change adds a value to those in force, or takes one away.
+func change(list []float64, size float64, begin bool) []float64 {
+	if begin {
+		return append(list, size)
+	}
+	for i, s := range list {
+		if s == size {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// begins starts a process cold and tells the registry.
+func (s *stage) begins(n int) {
+	if err := s.hosts[n].start(true); err != nil {
+		s.failed(err)
+		return
+	}
+	s.registry.change(world.Entry{Worker: n, State: world.Up, Started: s.hosts[n].begun}, false)
+}
+
+// hold counts the reasons for which a worker's process is down; it comes back when the last has gone.
+func (s *stage) hold(n int, on bool) (first, last bool) {
+	h := s.hosts[n]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if on {
+		h.downs++
+		return h.downs == 1, false
+	}
+	h.downs--
+	return false, h.downs == 0 && !h.replaced
+}
+
+func (s *stage) hallWorker(n int, silent, begin bool) {
+	h := s.hosts[n]
+	if begin {
+		if first, _ := s.hold(n, true); first {
+			s.registry.change(world.Entry{Worker: n, State: world.Removed, Started: h.begun}, silent)
+		}
+		if silent {
+			h.silence(true)
+		} else {
+			h.stop()
+		}
+		return
+	}
+	if silent { // the machines come back from nothing
+		h.stop()
+		h.silence(false)
+	}
+	if _, last := s.hold(n, false); last {
+		s.begins(n)
+	}
+}
+
+func (s *stage) hallSidecars(step world.Step) {
+	for _, n := range step.Sidecars {
+		p := s.sidecars[n]
+		p.life.Lock()
+		defer p.life.Unlock()
+		if step.Begin {
+			p.kill()
+		} else if err := p.launch(); err != nil && !s.ended() {
+			s.failed(err)
+		}
+	}
+}
+
+func (s *stage) meetSidecars(kind string, step world.Step, extra time.Duration) {
+	var all sync.WaitGroup
+	for _, n := range step.Sidecars {
+		p := s.sidecars[n]
+		all.Go(func() {
+			p.life.Lock()
+			defer p.life.Unlock()
+			if !p.runs() {
+				return // a hall's loss has it
+			}
+			switch kind {
+			case "reload":
+				if err := p.reload(); err != nil {
+					s.failed(err)
+				}
+				return
+			case "kill":
+				p.kill()
+			case "term":
+				p.term()
+			}
+			if s.sleepUntil(s.now() + extra) {
+				if err := p.launch(); err != nil && !s.ended() {
+					s.failed(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// shrink drains workers and ends them; at its end they start again.
+func (s *stage) shrink(step world.Step, drain time.Duration) {
+	if step.Begin {
+		for _, n := range step.Workers {
+			if first, _ := s.hold(n, true); first {
+				s.registry.change(world.Entry{Worker: n, State: world.Draining, Started: s.hosts[n].begun}, false)
+			}
+		}
+		if !s.sleepUntil(s.now() + drain) {
+			return
+		}
+		for _, n := range step.Workers {
+			s.hosts[n].mu.Lock()
+			down := s.hosts[n].downs > 0
+			s.hosts[n].mu.Unlock()
+			if down {
+				s.hosts[n].stop()
+				s.registry.change(world.Entry{Worker: n, State: world.Removed, Started: s.hosts[n].begun}, false)
+			}
+		}
+		return
+	}
+	for _, n := range step.Workers {
+		if _, last := s.hold(n, false); last {
+			s.hosts[n].stop()
+			s.begins(n)
+		}
+	}
+}
+
+// replace ends a worker for good; another machine takes its addresses.
+func (s *stage) replace(old, new int, extra time.Duration) {
+	h := s.hosts[old]
+	h.mu.Lock()
+	gone := h.replaced
+	h.replaced = true
+	h.mu.Unlock()
+	if gone {
+		return
+	}
+	h.stop()
+	s.registry.change(world.Entry{Worker: old, State: world.Removed, Started: h.begun}, false)
+	if s.sleepUntil(s.now() + extra) {
+		s.begins(new)
+	}
+}
+
+// rude plays clients that do not know how to behave, n at a time at each sidecar.
+func (s *stage) rude(ctx context.Context, n int) {
+	if n == 0 {
+		n = 20
+	}
+	ways := []string{
+		"",                                     // says nothing
+		"GET /availability/x HTTP/1.1\r\nX-Tr", // half a head
+		"POST /booking/x HTTP/1.1\r\nX-Trace-Id: rude\r\nX-Expires-In: 900m\r\nContent-Length: 5000\r\n\r\nhalf a body",
+		"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", // TLS
+		"GET /availability/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 20_000) + "\r\n\r\n",
+		strings.Repeat("GET /_health HTTP/1.1\r\n\r\n", 2000), // never reads
+	}
+	var all sync.WaitGroup
+	for sidecar := range s.plan.Sidecar {
+		for range n {
+			all.Go(func() {
+				for ctx.Err() == nil && !s.ended() {
+					c, err := net.DialTimeout("tcp", s.net.sidecar(sidecar), 500*time.Millisecond)
+					if err == nil {
+						c.SetDeadline(time.Now().Add(time.Duration(1+rand.IntN(4000)) * time.Millisecond))
+						fmt.Fprint(c, ways[rand.IntN(len(ways))])
+						c.Read(make([]byte, 1))
+						c.Close()
+					}
+					if !s.sleepUntil(s.now() + time.Duration(20+rand.IntN(80))*time.Millisecond) {
+						return
+					}
+				}
+			})
+		}
+	}
+	all.Wait()
+}
+
+// sample looks whether the model has fallen over or stalled since.
+func (h *host) sample() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.truth()
+}
--- /dev/null
+++ b/internal/lab/stage/registry.go
@@ -0,0 +1,208 @@
+package stage
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"burlpass/internal/lab/judge"
+	"burlpass/internal/lab/world"
+)
+
+// registry serves the model of the registry over HTTP, at addresses of each sidecar's own.
+type registry struct {
+	*stage
+	mu      sync.Mutex
+	model   *world.Registry
+	changed chan struct{} // closed and replaced at each change of the list
+	failed  chan struct{} // closed when the service goes down
+	timer   *time.Timer
+	servers []*http.Server
+}
+
+func newRegistry(s *stage) *registry {
+	c := s.plan.Registry
+	return &registry{stage: s, model: world.NewRegistry(c.Notice, c.Silent, c.Capacity, c.Timeout),
+		changed: make(chan struct{}), failed: make(chan struct{})}
+}
+
+func (r *registry) start() error {
+	for i := range r.plan.Sidecar {
+		for _, second := range []bool{false, true} {
+			ln, err := listen(r.net.registry(i, second))
+			if err != nil {
+				return err
+			}
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(w, q, i) }),
+				ReadHeaderTimeout: 10 * time.Second}
+			r.servers = append(r.servers, server)
+			r.work.Go(func() { server.Serve(ln) })
+		}
+	}
+	return nil
+}
+
+func (r *registry) stop() {
+	for _, s := range r.servers {
+		s.Close()
+	}
+}
+
+// change tells the model of a change in the world.
+func (r *registry) change(e world.Entry, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model.Change(r.now(), e, silent)
+	r.arm()
+}
+
+func (r *registry) lag(by time.Duration, on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model.Lag(by, on)
+}
+
+func (r *registry) fail(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.model.Fail(on)
+	if r.model.IsDown() {
+		close(r.failed)
+		r.failed = make(chan struct{})
+	}
+}
+
+func (r *registry) arm() {
+	if at, ok := r.model.Due(); ok {
+		wait := max(0, at-r.now())
+		if r.timer == nil {
+			r.timer = time.AfterFunc(wait, r.tick)
+		} else {
+			r.timer.Reset(wait)
+		}
+	}
+}
+
+func (r *registry) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if changed := r.model.Advance(r.now()); len(changed) > 0 {
+		for _, e := range changed {
+			r.observe(judge.Event{Kind: judge.Listed, Worker: e.Worker, State: uint8(e.State), Started: e.Started})
+		}
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+	r.arm()
+}
+
+type instanceJSON struct {
+	ID        string  `json:"instanceId"`
+	Addr      string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"startedAtMs"`
+}
+
+type listJSON struct {
+	Generation uint64         `json:"generation"`
+	Reset      bool           `json:"reset"`
+	Instances  []instanceJSON `json:"instances"`
+}
+
+// list writes entries as one sidecar sees them.
+func (r *registry) list(sidecar int, version uint64, whole bool, entries []world.Entry) listJSON {
+	out := listJSON{Generation: version, Reset: whole, Instances: []instanceJSON{}}
+	for _, e := range entries {
+		spec := r.plan.Fleet[e.Worker]
+		i := instanceJSON{ID: "s-" + spec.Name, Addr: r.net.worker(sidecar, r.slots[e.Worker]), Zone: r.plan.Halls[spec.Hall],
+			Kind: r.plan.Kinds[spec.Kind].Name, Lifecycle: e.State.String(), Weight: float64(r.plan.Kinds[spec.Kind].Cores)}
+		if e.Started >= 0 {
+			i.StartedMs = r.wall(e.Started).UnixMilli()
+		}
+		out.Instances = append(out.Instances, i)
+	}
+	return out
+}
+
+// serve answers a plain call with the whole list, and a watch once there is something newer.
+func (r *registry) serve(w http.ResponseWriter, q *http.Request, sidecar int) {
+	if q.URL.Path != "/catalog/members" {
+		http.NotFound(w, q)
+		return
+	}
+	since, err := strconv.ParseUint(q.URL.Query().Get("since"), 10, 64)
+	watch := err == nil
+	wait, _ := strconv.Atoi(q.URL.Query().Get("timeout_ms"))
+	r.mu.Lock()
+	at, ok := r.model.Call(r.now())
+	failed := r.failed
+	r.mu.Unlock()
+	if !r.rest(q.Context(), at-r.now(), failed) || !ok {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	limit := time.NewTimer(time.Duration(min(wait, 60_000)) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		r.mu.Lock()
+		version, changed := r.model.Version, r.changed
+		whole := !watch || since > version
+		entries := r.model.Since(since, whole)
+		r.mu.Unlock()
+		if !watch || whole || len(entries) > 0 || !r.until(q.Context(), changed, failed, limit.C) {
+			select {
+			case <-failed:
+				panic(http.ErrAbortHandler) // a watch ends with its service
+			default:
+			}
+			r.tell(w, sidecar, r.list(sidecar, version, whole, entries), entries)
+			return
+		}
+	}
+}
+
+func (r *registry) rest(ctx context.Context, d time.Duration, failed <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+	case <-failed:
+	case <-r.over:
+	}
+	return false
+}
+
+// until waits for a change; it returns false where there is something else to answer first.
+func (r *registry) until(ctx context.Context, changed, failed <-chan struct{}, limit <-chan time.Time) bool {
+	select {
+	case <-changed:
+		return true
+	case <-limit:
+	case <-ctx.Done():
+	case <-failed:
+	case <-r.over:
+	}
+	return false
+}
+
+func (r *registry) tell(w http.ResponseWriter, sidecar int, list listJSON, entries []world.Entry) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		return
+	}
+	if http.NewResponseController(w).Flush() != nil {
+		return
+	}
+	for _, e := range entries {
+		r.observe(judge.Event{Kind: judge.Told, Sidecar: sidecar, Worker: e.Worker, State: uint8(e.State), Started: e.Started})
+	}
+}
--- /dev/null
+++ b/internal/lab/stage/sidecar.go
@@ -0,0 +1,254 @@
+package stage
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"burlpass/internal/lab/judge"
+)
+
+// process is one sidecar as a child process.
+type process struct {
+	*stage
+	n      int
+	second bool       // its registry is at the second address now
+	life   sync.Mutex // held while it is ended, begun or reloaded
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	wanted  string // how the laboratory ended it; empty where it did not
+	log     *os.File
+	logPath string
+}
+
+// readyTime bounds a sidecar's start.
+const readyTime = 10 * time.Second
+
+// launch starts the process and returns when it answers its health check.
+func (p *process) launch() error {
+	path, err := p.configure()
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.log == nil {
+		p.logPath = filepath.Join(p.dir, p.plan.Sidecar[p.n].Name+".log")
+		if p.log, err = os.Create(p.logPath); err != nil {
+			return err
+		}
+	}
+	cmd := exec.Command(p.command[0], p.command[1:]...)
+	cmd.Env = append(os.Environ(), "EDGE_NAME="+p.plan.Sidecar[p.n].Name, "EDGE_LISTEN="+p.net.sidecar(p.n),
+		"EDGE_DISCOVERY="+p.net.registry(p.n, p.second), "EDGE_CONFIG="+path)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	// A group of its own keeps a Ctrl-C of the terminal from it; it ends with the laboratory all the same.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	limit := uint64(p.plan.Limits.Sockets)
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: limit}, nil); err != nil {
+		return fmt.Errorf("limit of descriptors: %w", err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.wanted = cmd, exited, ""
+	p.work.Go(func() {
+		cmd.Wait()
+		p.mu.Lock()
+		wanted := p.wanted
+		p.mu.Unlock()
+		if !p.ended() {
+			text := wanted
+			if wanted == "" {
+				text = cmd.ProcessState.String() + ", see " + p.logPath
+			}
+			p.observe(judge.Event{Kind: judge.Exited, Sidecar: p.n, Status: cmd.ProcessState.ExitCode(), Wanted: wanted != "", Text: text})
+		}
+		close(exited)
+	})
+	return p.ready(exited)
+}
+
+func (p *process) ready(exited <-chan struct{}) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for begun := time.Now(); time.Since(begun) < readyTime; {
+		answer, err := client.Get("http://" + p.net.sidecar(p.n) + "/_health")
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == 200 {
+				p.observe(judge.Event{Kind: judge.Began, Sidecar: p.n})
+				return nil
+			}
+		}
+		select {
+		case <-exited:
+			return fmt.Errorf("sidecar %s ended at its start: %s", p.plan.Sidecar[p.n].Name, p.tail())
+		case <-p.over:
+			return errors.New("stopped")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("sidecar %s was not ready in %v: %s", p.plan.Sidecar[p.n].Name, readyTime, p.tail())
+}
+
+// tail is the end of the sidecar's log.
+func (p *process) tail() string {
+	b, _ := os.ReadFile(p.logPath)
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	return lines[len(lines)-1]
+}
+
+// configure writes the sidecar's configuration as the platform would.
+func (p *process) configure() (string, error) {
+	p.registry.mu.Lock()
+	entries := p.registry.model.Since(0, true)
+	known := p.registry.list(p.n, p.registry.model.Version, true, entries)
+	p.registry.mu.Unlock()
+	text, err := json.Marshal(map[string]any{
+		"name": p.plan.Sidecar[p.n].Name, "listen": p.net.sidecar(p.n), "discovery": p.net.registry(p.n, p.second),
+		"seed":     fmt.Sprintf("%016x", p.plan.Seed*1_000_003+uint64(p.n)+uint64(p.now())),
+		"limits":   map[string]any{"cores": p.plan.Limits.Cores, "memory_mb": int(p.plan.Limits.Memory >> 20), "sockets": p.plan.Limits.Sockets},
+		"known":    known,
+		"settings": p.settings(),
+	})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(p.dir, p.plan.Sidecar[p.n].Name+".json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// settings are the platform's, in its names and units.
+func (p *process) settings() map[string]any {
+	s := p.plan.Scenario
+	classes, kinds := []map[string]any{}, []string{}
+	for _, k := range s.Kinds {
+		kinds = append(kinds, k.Name)
+	}
+	for _, k := range s.Classes {
+		c := map[string]any{"name": k.Name, "repeat": k.Effect, "aim_us": k.Aim.Microseconds(), "deadline_us": k.Deadline.Microseconds(),
+			"importance": k.Worth, "late_worth": k.LateWorth, "group": "all", "dedup_window_us": k.Window.Microseconds(), "stream": false}
+		if k.Effect == "keyed" {
+			c["group"] = "zone"
+		}
+		classes = append(classes, c)
+	}
+	coldest, longest := 1.0, time.Duration(0)
+	for _, k := range s.Kinds {
+		coldest, longest = min(coldest, k.ColdFrom), max(longest, k.ColdTime)
+	}
+	return map[string]any{
+		"balancers": len(p.plan.Sidecar), "ordinal": p.n, "period_us": 5000, "zone": p.plan.Sidecar[p.n].Hall, "zones": s.Halls,
+		"machine_types": kinds, "discovery": "subscribe", "weights": "rough", "worth_by": "request",
+		"ceilings": map[string]any{"cancelling": true, "connect_timeout_us": s.Conn.Connect.Microseconds(),
+			"idle_close_us": s.Conn.Idle.Microseconds(), "max_attempts": s.Rules.MaxAttempts,
+			"max_retry_after_us": s.Rules.MaxRetry.Microseconds(), "may_duplicate": false, "probing": true, "retry_after": true,
+			"streams_per_conn": 1},
+		"prices":  map[string]any{"cross_zone": s.Goal.Cross, "late_fail": s.Goal.LateFail, "probe": s.Goal.Probe, "waste": s.Goal.Waste},
+		"report":  map[string]any{"columns": []string{"util", "eps", "queue"}, "via": "pull"},
+		"clients": map[string]any{"marks_retry": s.Clients.Marks},
+		"safety": map[string]any{"answer_slack_us": 20000, "ask_within_us": 10000000, "drain_grace_us": s.Rules.DrainGrace.Microseconds(),
+			"fall_multiple": s.Rules.FallMultiple, "start_capacity": coldest, "tip_after_us": s.Rules.FallTime.Microseconds(),
+			"warm_after_us": longest.Microseconds()},
+		"classes": classes,
+	}
+}
+
+// signal sends a signal that the laboratory means; how names it where it ends the process.
+func (p *process) signal(sig syscall.Signal, how string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	if how != "" {
+		p.wanted = how
+	}
+	p.cmd.Process.Signal(sig)
+}
+
+// kill ends the process outright and returns when it has gone.
+func (p *process) kill() {
+	p.observe(judge.Event{Kind: judge.Killed, Sidecar: p.n})
+	p.signal(syscall.SIGKILL, "kill")
+	p.gone()
+}
+
+func (p *process) gone() {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+}
+
+// runs tells whether the process has been started and not been ended.
+func (p *process) runs() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && p.wanted == ""
+}
+
+// term asks the process to end and kills it where it has not after the longest deadline and 0.7 s.
+func (p *process) term() {
+	p.observe(judge.Event{Kind: judge.Termed, Sidecar: p.n})
+	p.signal(syscall.SIGTERM, "term")
+	longest := 3 * time.Second
+	for _, k := range p.plan.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(longest + 700*time.Millisecond):
+		p.kill()
+	}
+}
+
+// reload moves the sidecar to its other registry address.
+func (p *process) reload() error {
+	p.second = !p.second
+	if _, err := p.configure(); err != nil {
+		return err
+	}
+	p.signal(syscall.SIGHUP, "")
+	return nil
+}
+
+// sample notes what the process uses.
+func (p *process) sample() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.wanted != "" {
+		return
+	}
+	dir := "/proc/" + strconv.Itoa(p.cmd.Process.Pid)
+	text, err := os.ReadFile(dir + "/statm")
+	if err != nil {
+		return
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	files, _ := os.ReadDir(dir + "/fd")
+	p.observe(judge.Event{Kind: judge.Used, Sidecar: p.n, Memory: pages * int64(os.Getpagesize()), Sockets: len(files)})
+}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"math"
 	"net"
 	"os"
@@ -33,20 +33,21 @@
 // Sidecar is a sidecar that listens.
 type Sidecar struct {
 	config   *Config
-	log      *log.Logger
+	log      *slog.Logger
 	listener *transport.Listener
 	pool     *transport.Pool
 }
 
 // New listens, and readies the connections' bounds, for what c says.
-func New(c *Config, logger *log.Logger) (*Sidecar, error) {
+func New(c *Config, logger *slog.Logger) (*Sidecar, error) {
 	clients, spare, workers := transport.Split(c.Limits.Sockets)
 	listener, err := transport.Listen(c.Listen, clients, spare)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_LISTEN: %w", err)
 	}
-	logger.Printf("event=start name=%s listen=%s registry=%s workers=%d client_sockets=%d worker_sockets=%d cores=%g memory_mb=%d",
-		c.Name, listener.Addr(), c.Registry, len(c.Known.Instances), clients, workers, c.Limits.Cores, c.Limits.MemoryMB)
+	logger.Info("start", "name", c.Name, "listen", listener.Addr().String(), "registry", c.Registry,
+		"workers", len(c.Known.Instances), "client_sockets", clients, "worker_sockets", workers,
+		"cores", c.Limits.Cores, "memory_mb", c.Limits.MemoryMB)
 	return &Sidecar{config: c, log: logger, listener: listener,
 		pool: transport.NewPool(transport.NewBudget(workers), c.Decide.ConnectTime,
 			time.Duration(idleShare*float64(c.Decide.IdleClose)))}, nil
@@ -77,14 +78,14 @@
 		s.listener.Accept(acceptor.Serve)
 	}()
 
-	s.log.Printf("event=drain signal=%q", <-s.heed(working, signals, router))
+	s.log.Info("drain", "signal", (<-s.heed(working, signals, router)).String())
 	drain()
 	time.Sleep(drainTime)
 	s.listener.Close()
 	shut()
 	<-stopped
 	s.listener.Wait()
-	s.log.Printf("event=stop")
+	s.log.Info("stop")
 }
 
 // heed reloads at each SIGHUP until ctx is done, and passes on the first other signal.
@@ -114,10 +115,9 @@
 func (s *Sidecar) reload(router *routing.Router) {
 	next, err := s.config.Reload()
 	if err != nil {
-		s.log.Printf("event=reload_failed err=%q", err)
+		s.log.Error("reload_failed", "err", err)
 		return
 	}
-	s.log.Printf("event=reload registry=%s needs_restart=%q", next.Registry,
-		strings.Join(s.config.Fixed(next), ","))
+	s.log.Info("reload", "registry", next.Registry, "needs_restart", strings.Join(s.config.Fixed(next), ","))
 	router.MoveRegistry(next.Registry)
 }
--- a/internal/program/stage_test.go
+++ b/internal/program/stage_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +16,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"burlpass/internal/logging"
 )
 
 // A scenario is a text of lines "WHO VERB WHAT", played against a whole sidecar on loopback sockets. The
@@ -100,7 +101,11 @@
 	if _, err = c.parse([]byte(st.file)); err != nil {
 		t.Fatal(err)
 	}
-	sidecar, err := New(c, log.New(st, "", 0))
+	logger, err := logging.New(st, logging.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sidecar, err := New(c, logger)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -6,7 +6,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"log"
+	"log/slog"
 	"net"
 	"strconv"
 	"sync"
@@ -47,7 +47,7 @@
 	Classes  []string        // class names; a class is its position
 	Draining context.Context // done from the moment on which clients are steered away
 	Closing  context.Context // done when connections without a call are to end
-	Log      *log.Logger
+	Log      *slog.Logger
 
 	rejected tally
 	traces   traces
@@ -321,7 +321,7 @@
 		return
 	}
 	if held, ok := c.rejected.due(time.Now()); ok {
-		c.Log.Printf("event=call_rejected status=%d reason=%q more=%d", f.status, f.text, held)
+		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "more", held)
 	}
 	c.closing = c.closing || c.Tight()
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -108,7 +108,7 @@
 			r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegation off
 
 		case <-overdue.C:
-			r.Log.Printf("event=call_overdue call=%d delegations=%d", t.id, t.tries)
+			r.Log.Error("call_overdue", "call", t.id, "delegations", t.tries)
 			r.tell(decide.Event{Kind: decide.Left, ID: t.id})
 			final = &protocol.Answer{Verdict: protocol.Expired}
 			if done != nil {
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -115,7 +115,7 @@
 }
 
 func (r *Router) listFailed(from source, call string, err error) {
-	r.Log.Printf("event=registry_failed registry=%s call=%s err=%q", from.addr, call, err)
+	r.Log.Warn("registry_failed", "registry", from.addr, "call", call, "err", err)
 	r.mu.Lock()
 	var rest []decide.Action
 	if from == r.source {
@@ -179,8 +179,8 @@
 	up := r.up
 	r.mu.Unlock()
 	if len(list.Instances) > 0 {
-		r.Log.Printf("event=list generation=%d entries=%d whole=%v up=%d", list.Generation,
-			len(list.Instances), kind != decide.ListDelta, up)
+		r.Log.Info("list", "generation", list.Generation, "entries", len(list.Instances),
+			"whole", kind != decide.ListDelta, "up", up)
 	}
 	for _, peer := range stale {
 		r.Workers.CloseIdle(peer)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -8,7 +8,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -25,7 +25,7 @@
 	Names    Names
 	Workers  *protocol.Workers
 	Registry string // its address at the start
-	Log      *log.Logger
+	Log      *slog.Logger
 }
 
 // Names holds the settings' lists of names; the module knows a name by its position.
@@ -129,9 +129,9 @@
 				r.Workers.CloseIdle(w.peer)
 			}
 		case decide.Log:
-			r.Log.Printf("event=decision text=%q", a.Text)
+			r.Log.Info("decision", "text", a.Text)
 		default: // sidecars have no way to talk to one another here
-			r.Log.Printf("event=action_ignored kind=%d", a.Kind)
+			r.Log.Warn("action_ignored", "kind", int(a.Kind))
 		}
 	}
 }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
+
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"burlpass/decide"
+	"burlpass/internal/logging"
 	"burlpass/internal/protocol"
 	"burlpass/internal/transport"
 )
@@ -78,7 +78,7 @@
 	} {
 		r := New(ctx, Config{Decide: decide.Config{Classes: []decide.Class{{Aim: time.Second}}},
 			Workers: &protocol.Workers{Pool: transport.NewPool(transport.NewBudget(1), time.Second, 0)},
-			Log:     log.New(io.Discard, "", 0)}, list(5, true, up, instance("b", "h:3", protocol.Up, 0)))
+			Log:     logging.Discard()}, list(5, true, up, instance("b", "h:3", protocol.Up, 0)))
 		was := r.worker(1)
 		r.learn(r.source, test.news, test.kind)
 		got := []any{r.still(was), r.up, len(r.ids)}
@@ -99,7 +99,7 @@
 	}
 	r := New(ctx, Config{Registry: "old", Decide: decide.Config{Classes: []decide.Class{{Aim: time.Second}}},
 		Workers: &protocol.Workers{Pool: transport.NewPool(transport.NewBudget(1), time.Second, 0)},
-		Log:     log.New(io.Discard, "", 0)}, list(5, "a"))
+		Log:     logging.Discard()}, list(5, "a"))
 	old := r.source
 	r.MoveRegistry("new")
 	for _, step := range []struct {
