--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -7,11 +7,13 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"burlpass/internal/lab/reference"
 	"burlpass/internal/lab/report"
 	"burlpass/internal/lab/scenario"
 	"burlpass/internal/lab/stage"
@@ -27,7 +29,7 @@
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	lab.AddCommand(a.labRun(), a.labList())
+	lab.AddCommand(a.labRun(), a.labCompare(), a.labList(), a.labReport(), a.referenceCommand())
 	return lab
 }
 
@@ -47,6 +49,12 @@
 	if len(words) == 0 || words[0] == "self" {
 		return build{"self", []string{self, "serve"}}, nil
 	}
+	if policy, ok := strings.CutPrefix(words[0], "reference:"); ok {
+		if !slices.Contains(reference.Policies(), policy) {
+			return build{}, fmt.Errorf("unknown reference %q; one of %s is expected", policy, strings.Join(reference.Policies(), ", "))
+		}
+		return build{words[0], []string{self, "lab", "reference", policy}}, nil
+	}
 	path, err := filepath.Abs(words[0])
 	if err != nil {
 		return build{}, err
@@ -66,6 +74,7 @@
 
 func (a *app) labRun() *cobra.Command {
 	var seed uint64
+	var settings []string
 	var program, logs, jsonFile, htmlFile string
 	var quiet bool
 	c := &cobra.Command{
@@ -87,7 +96,7 @@
 			}
 			ctx, cancel := interruptible()
 			defer cancel()
-			day, err := a.play(ctx, s, seed, b, logs, quiet)
+			day, err := a.play(ctx, s, seed, b, settings, logs, quiet)
 			if err != nil {
 				return wrong(err)
 			}
@@ -104,6 +113,7 @@
 	f := c.Flags()
 	f.Uint64Var(&seed, "seed", 1, "what the day is drawn from")
 	f.StringVar(&program, "build", "self", "sidecar to play: self, or a program with its arguments")
+	f.StringArrayVar(&settings, "set", nil, "setting of the sidecars, as path=value; may be repeated")
 	f.StringVar(&logs, "logs", "", "folder for the sidecars' configurations and logs; one that is deleted where empty")
 	f.StringVar(&jsonFile, "json", "", "write the report as JSON to this file")
 	f.StringVar(&htmlFile, "html", "", "write the report as one HTML page to this file")
@@ -112,7 +122,7 @@
 }
 
 // play plays one day, with a line of progress on standard error where that is a terminal.
-func (a *app) play(ctx context.Context, s *scenario.Scenario, seed uint64, b build, logs string, quiet bool) (*report.Day, error) {
+func (a *app) play(ctx context.Context, s *scenario.Scenario, seed uint64, b build, settings []string, logs string, quiet bool) (*report.Day, error) {
 	dir := logs
 	if dir == "" {
 		temp, err := os.MkdirTemp("", "burlpass-lab-")
@@ -125,7 +135,7 @@
 		return nil, err
 	}
 	plan := world.Draw(s, seed)
-	o := stage.Options{Plan: plan, Command: b.command, Dir: dir}
+	o := stage.Options{Plan: plan, Command: b.command, Dir: dir, Settings: settings}
 	if !quiet && terminal(a.stderr) {
 		o.Progress = func(p stage.Progress) {
 			fmt.Fprintf(a.stderr, "\r\x1b[K%s %4.1f/%.0f s  tries %d served %d refused %d broken %d  %s", s.Name, p.At.Seconds(),
--- a/internal/lab/report/json.go
+++ b/internal/lab/report/json.go
@@ -36,6 +36,3 @@
 	}
 	return nil
 }
-
-// HTML writes the page of a day.
-func (d *Day) HTML(w io.Writer) error { return errors.New("not yet") }
--- a/internal/lab/stage/sidecar.go
+++ b/internal/lab/stage/sidecar.go
@@ -123,7 +123,7 @@
 		"seed":     fmt.Sprintf("%016x", p.plan.Seed*1_000_003+uint64(p.n)+uint64(p.now())),
 		"limits":   map[string]any{"cores": p.plan.Limits.Cores, "memory_mb": int(p.plan.Limits.Memory >> 20), "sockets": p.plan.Limits.Sockets},
 		"known":    known,
-		"settings": p.settings(),
+		"settings": overlay(p.settings(), p.changes),
 	})
 	if err != nil {
 		return "", err
@@ -168,6 +168,40 @@
 	}
 }
 
+// parseSettings reads path=value, the value as JSON where it is some and as text otherwise.
+func parseSettings(list []string) (map[string]any, error) {
+	out := map[string]any{}
+	for _, item := range list {
+		path, text, ok := strings.Cut(item, "=")
+		if !ok || path == "" {
+			return nil, fmt.Errorf("setting %q: path=value is expected", item)
+		}
+		var value any
+		if json.Unmarshal([]byte(text), &value) != nil {
+			value = text
+		}
+		out[path] = value
+	}
+	return out, nil
+}
+
+// overlay puts values at dotted paths into nested settings.
+func overlay(settings, changes map[string]any) map[string]any {
+	for path, value := range changes {
+		at, words := settings, strings.Split(path, ".")
+		for _, word := range words[:len(words)-1] {
+			inner, ok := at[word].(map[string]any)
+			if !ok {
+				inner = map[string]any{}
+				at[word] = inner
+			}
+			at = inner
+		}
+		at[words[len(words)-1]] = value
+	}
+	return settings
+}
+
 // signal sends a signal that the laboratory means; how names it where it ends the process.
 func (p *process) signal(sig syscall.Signal, how string) {
 	p.mu.Lock()
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -22,6 +22,7 @@
 type Options struct {
 	Plan     *world.Plan
 	Command  []string         // one sidecar; it gets the EDGE_ variables
+	Settings []string         // path=value, in place of what the scenario gives the sidecars
 	Dir      string           // for configurations and logs
 	Progress func(p Progress) // called now and then; may be nil
 }
@@ -48,9 +49,10 @@
 	net     *network
 	dir     string
 	command []string
-	origin  time.Time     // of the monotonic clock
-	started atomic.Int64  // the day's start, in nanoseconds since origin
-	over    chan struct{} // closed at the end
+	changes map[string]any // settings by dotted path
+	origin  time.Time      // of the monotonic clock
+	started atomic.Int64   // the day's start, in nanoseconds since origin
+	over    chan struct{}  // closed at the end
 	work    sync.WaitGroup
 	slots   []int // of each worker's addresses
 
@@ -170,12 +172,16 @@
 // that the day could not be set up; no process of the run is left in any case.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	raiseFiles()
+	changes, err := parseSettings(o.Settings)
+	if err != nil {
+		return nil, err
+	}
 	net, err := claim()
 	if err != nil {
 		return nil, err
 	}
 	defer net.release()
-	s := &stage{plan: o.Plan, net: net, dir: o.Dir, command: o.Command, origin: time.Now(), over: make(chan struct{}),
+	s := &stage{plan: o.Plan, net: net, dir: o.Dir, command: o.Command, changes: changes, origin: time.Now(), over: make(chan struct{}),
 		dedups: map[[2]int]*world.Dedup{}}
 	defer s.close()
 	if err := s.setUp(); err != nil {
