--- a/internal/lab/report/html.go
+++ b/internal/lab/report/html.go
@@ -45,9 +45,9 @@
 }
 
 const (
-	cellWidth  = 12
+	cellWidth  = 14
 	cellHeight = 11
-	gridLeft   = 120
+	gridLeft   = 90
 )
 
 // Right is where a grid's cells end.
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -26,7 +26,7 @@
 
 const (
 	plotWidth  = 860
-	plotHeight = 190
+	plotHeight = 200
 )
 
 // curves draws lines over the seconds of a day, with its faults as shaded spans. top 0 leaves the scale to the data.
@@ -48,7 +48,7 @@
 	if highest <= 0 {
 		highest = 1
 	}
-	p.Y.Max = highest * 1.05
+	p.Y.Max = highest * 1.3 // room for the legend
 	for _, f := range faults {
 		from, to := f.From, math.Min(math.Max(f.To, f.From+0.15), p.X.Max)
 		if from >= p.X.Max {
@@ -81,7 +81,8 @@
 		p.Add(curve)
 		p.Legend.Add(l.name, curve)
 	}
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
+	p.X.Label.Text = "seconds"
 	c := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(c))
 	var out bytes.Buffer
--- a/internal/lab/stage/addr.go
+++ b/internal/lab/stage/addr.go
@@ -90,11 +90,15 @@
 	c.Close()
 }
 
-// quiet tells that an idle connection has neither ended nor anything to read.
-func quiet(c net.Conn) bool {
+// quiet tells that an idle connection has neither ended nor anything to read; readable that there are bytes.
+func quiet(c net.Conn) bool    { return errors.Is(peek(c), syscall.EAGAIN) }
+func readable(c net.Conn) bool { return peek(c) == nil }
+
+// peek returns nil where there are bytes to read, EAGAIN where there is nothing yet.
+func peek(c net.Conn) error {
 	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
 	var state error
 	var b [1]byte
@@ -104,5 +108,5 @@
 			state = net.ErrClosed
 		}
 	})
-	return err == nil && errors.Is(state, syscall.EAGAIN)
+	return errors.Join(err, state)
 }
--- a/internal/lab/stage/client.go
+++ b/internal/lab/stage/client.go
@@ -38,7 +38,8 @@
 
 type clientConn struct {
 	net.Conn
-	r *bufio.Reader
+	r    *bufio.Reader
+	last uint64 // the call answered last on it
 }
 
 // keep bounds the idle connections that one application holds.
@@ -53,32 +54,41 @@
 			a.mu.Unlock()
 			return c, true, nil
 		}
-		c.Close()
+		a.surplus(c)
 	}
 	a.mu.Unlock()
 	conn, err := net.DialTimeout("tcp", a.net.sidecar(a.sidecar), time.Second)
 	if err != nil {
 		return nil, false, err
 	}
-	return &clientConn{conn, bufio.NewReaderSize(conn, 2<<10)}, false, nil
+	return &clientConn{Conn: conn, r: bufio.NewReaderSize(conn, 2<<10)}, false, nil
 }
 
 func (a *application) put(c *clientConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.idle) >= keep || c.r.Buffered() > 0 {
-		c.Close()
+		a.surplus(c)
 		return
 	}
 	c.SetDeadline(time.Time{})
 	a.idle = append(a.idle, c)
 }
 
+// surplus closes a connection that cannot be used again. Bytes on it beyond the last answer are a second one.
+func (a *application) surplus(c *clientConn) {
+	c.SetReadDeadline(time.Now())
+	if c.r.Buffered() > 0 || readable(c.Conn) {
+		a.observe(judge.Event{Kind: judge.Answered, Call: c.last, Sidecar: a.sidecar, Status: 0})
+	}
+	c.Close()
+}
+
 func (a *application) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, c := range a.idle {
-		c.Close()
+		c.Close() // surplus bytes count while the day runs; it is over
 	}
 	a.idle = nil
 }
@@ -143,7 +153,7 @@
 		}
 		asked.At = a.now()
 		a.observeAt(asked)
-		end, after, _ = a.exchange(client, t, &clientConn{conn, bufio.NewReaderSize(conn, 2<<10)}, text, patience, false)
+		end, after, _ = a.exchange(client, t, &clientConn{Conn: conn, r: bufio.NewReaderSize(conn, 2<<10)}, text, patience, false)
 	}
 	return end, after
 }
@@ -197,6 +207,7 @@
 		e.Kind = judge.Ended // sent once more, it turns out to have been taken the first time: lost
 	}
 	a.observe(e)
+	c.last = t.id
 	if answer.Close {
 		c.Close()
 	} else {
--- a/internal/lab/stage/faults.go
+++ b/internal/lab/stage/faults.go
@@ -99,7 +99,7 @@
 		} else {
 			h.lie--
 		}
-	case "reset", "spoil", "overlong":
+	case "cut", "reset", "spoil", "overlong":
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.sizes[kind] = change(h.sizes[kind], size, begin)
@@ -269,6 +269,7 @@
 		"POST /booking/x HTTP/1.1\r\nX-Trace-Id: rude\r\nX-Expires-In: 900m\r\nContent-Length: 5000\r\n\r\nhalf a body",
 		"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", // TLS
 		"GET /availability/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"GET /_health HTTP/1.1\r\n\r\n", // asks once and stays
 		"GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 20_000) + "\r\n\r\n",
 		strings.Repeat("GET /_health HTTP/1.1\r\n\r\n", 2000), // never reads
 	}
--- a/internal/lab/stage/worker.go
+++ b/internal/lab/stage/worker.go
@@ -40,7 +40,7 @@
 	report    world.Load
 	reported  time.Duration
 	lie       int                  // probe_lie: faults that go on
-	shares    map[string]float64   // reset, spoil, overlong: share of answers met
+	shares    map[string]float64   // cut, reset, spoil, overlong: share of answers met
 	sizes     map[string][]float64 // the same by fault that goes on
 	slows     []float64            // speeds left over, by fault that goes on
 	downs     int                  // reasons for which the process is down
@@ -416,6 +416,9 @@
 	}
 	body := fmt.Sprintf(`{"worker":%q,"call":%q,"attempt":%d}`, h.plan.Fleet[h.n].Name, x.try.trace, x.serial)
 	switch {
+	case h.met("cut"):
+		c.end(true)
+		return
 	case h.met("overlong"):
 		h.write(x, 200, "", body+strings.Repeat("x", 100<<10))
 		return
