--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,7 @@
 	stdout, stderr io.Writer
 	logFormat      string
 	logLevel       string
+	config         string // of serve
 }
 
 // Main runs the command line and returns the exit code. With no arguments it serves.
@@ -88,15 +89,19 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&a.logFormat, "log-format", "text", "form of the log on standard error: text (key=value) or json")
 	flags.StringVar(&a.logLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
-	root.AddCommand(&cobra.Command{
+	serve := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one sidecar until SIGTERM",
 		Long: `Runs one sidecar, told by EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONFIG. SIGTERM or SIGINT
-ends it gracefully, SIGHUP reads the configuration again.`,
-		Example: "  EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.toml burlpass serve",
-		Args:    cobra.NoArgs,
-		RunE:    a.serve,
-	}, a.versionCommand(), a.checkCommand(), a.labCommand())
+ends it gracefully, SIGHUP reads the configuration again. With --config a file says all, and the variables
+count for nothing.`,
+		Example: `  burlpass serve --config docs/config.example.toml
+  EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.json burlpass serve`,
+		Args: cobra.NoArgs,
+		RunE: a.serve,
+	}
+	serve.Flags().StringVar(&a.config, "config", "", "configuration file, TOML or the platform's JSON")
+	root.AddCommand(serve, a.versionCommand(), a.checkCommand(), a.labCommand(), a.docsCommand())
 	return root
 }
 
@@ -120,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	config, err := program.Load(a.getenv)
+	config, err := a.load()
 	if err != nil {
 		return wrong(err)
 	}
@@ -133,6 +138,13 @@
 	return nil
 }
 
+func (a *app) load() (*program.Config, error) {
+	if a.config != "" {
+		return program.LoadFile(a.config)
+	}
+	return program.Load(a.getenv)
+}
+
 func (a *app) versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:     "version",
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -147,6 +147,7 @@
 	Worker   []int // hall by worker
 	Sidecar  []int // hall by sidecar
 	Arrivals []ArrivalOf
+	Until    time.Duration // calls that came later do not count for or against the day's worth
 }
 
 // ArrivalOf is when a client's call came, and of which class.
--- a/internal/lab/judge/report.go
+++ b/internal/lab/judge/report.go
@@ -142,12 +142,16 @@
 // Report gives the day's figures after Finish.
 func (j *Judge) Report(work Work) *Report {
 	t := &j.tally
-	r := &Report{Calls: len(t.state), Tries: t.tries, Attempts: t.attempts, Refused: t.refusals, Advised: t.advised,
+	r := &Report{Tries: t.tries, Attempts: t.attempts, Refused: t.refusals, Advised: t.advised,
 		TurnedAway: t.turnedAway, Died: t.died, IdleLate: t.idleLate, Fell: t.fell, Violations: j.violations, MoreBroken: j.dropped}
 	lateFailed, asked, earned := 0.0, 0.0, 0.0
 	for i, o := range t.state {
 		a := t.fleet.Arrivals[i]
+		if a.At > t.fleet.Until {
+			break
+		}
 		class, k, s := &t.fleet.Scenario.Classes[a.Class], &t.classes[a.Class], t.second(a.At)
+		r.Calls++
 		k.Calls++
 		k.Asked += class.Worth
 		s.Calls++
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -160,6 +160,9 @@
 	return slices.Contains([]string{"replace", "kill", "term", "reload"}, f.Kind)
 }
 
+// Keys lists the keys of a scenario.
+func Keys() []config.Key { return config.Keys(Scenario{}) }
+
 // Load reads a scenario's file.
 func Load(path string) (*Scenario, error) {
 	text, err := os.ReadFile(path)
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -395,9 +395,13 @@
 		fleet.Sidecar = append(fleet.Sidecar, c.Hall)
 	}
 	work := judge.Work{}
+	fleet.Until = played
+	if cut { // what there was no time to answer is nobody's fault
+		fleet.Until = played - tail
+	}
 	for _, a := range s.plan.Arrivals {
-		if cut && a.At > played-tail {
-			break // what there was no time to answer is nobody's fault
+		if a.At > played {
+			break
 		}
 		fleet.Arrivals = append(fleet.Arrivals, judge.ArrivalOf{At: a.At, Class: a.Class, Sidecar: a.Sidecar})
 		work.Asked += a.Work.Seconds()
@@ -415,7 +419,7 @@
 	slices.SortStableFunc(events, func(a, b judge.Event) int { return int(a.At - b.At) })
 	j := judge.New(fleet)
 	for _, e := range events {
-		if e.At <= played && (e.Kind != judge.Asked || e.Arrival < len(fleet.Arrivals)) {
+		if e.At <= played {
 			j.Observe(e)
 		}
 	}
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -66,6 +66,60 @@
 	}
 }
 
+// Every fault is told with its place, in both forms.
+func TestCheckTellsAll(t *testing.T) {
+	for name, test := range map[string]struct {
+		text string
+		want []string
+	}{
+		"a.json": {"{\n \"seed\": \"xyz\",\n \"limits\": {\"cores\": 0, \"memory_mb\": 9, \"sockets\": 9},\n" +
+			" \"known\": {\"generation\": 1, \"reset\": true, \"instances\": []},\n \"settings\": " +
+			strings.NewReplacer(`"fall_multiple":2.5`, `"fall_multiple":0.5`, `"aim_us":600000`, `"aim_us":"soon"`, `"zone":0`, `"zone":7`).Replace(settings) + "}",
+			[]string{"2:2: seed", "3:13: limits.cores", "settings.zone: 7", "settings.safety.fall_multiple: 0.5", "settings.classes[0].aim_us: \"soon\""}},
+		"b.json": {"{\n \"seed\": 5}", []string{"2:10: seed"}},
+		"c.json": {"{\n \"seed\" 5}", []string{"2:9"}},
+		"d.toml": {"zone = \"x\"\nzones = [\"a\"]\nlisten = \"web\"\n[[class]]\nname = \"p\"\neffect = \"keyed\"\naim = \"2s\"\ndeadline = \"1s\"\n" +
+			"[[worker]]\nid = \"w\"\naddress = \"127.0.0.1\"\nzone = \"b\"\nwieght = 1\n",
+			[]string{"1:1: zone", "3:1: listen", "7:1: class[0].aim", "11:1: worker[0].address", "12:1: worker[0].zone", "13:1: worker[0].wieght: unknown key"}},
+		"e.toml": {"zone = \"a\"\nzones = [\"a\"]\n[[class]]\nname = \"p\"\neffect = \"keyed\"\naim = \"1s\"\ndeadline = \"1s\"\n",
+			[]string{"class[0].window: a keyed class"}},
+	} {
+		path := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(path, []byte(test.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		faults, err := Check(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, want := range test.want {
+			if i >= len(faults) || !strings.Contains(faults[i].Error(), want) {
+				t.Errorf("%s: fault %d is not %q in %v", name, i, want, []any{faults})
+			}
+		}
+		if len(faults) > len(test.want) {
+			t.Errorf("%s: more faults: %v", name, faults[len(test.want):])
+		}
+	}
+}
+
+// The example files say the same in both forms, and both are whole.
+func TestExamples(t *testing.T) {
+	var forms [2]*Config
+	for i, path := range []string{"../../docs/config.example.json", "../../docs/config.example.toml"} {
+		c, err := LoadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Path, c.Seed, c.Registry, c.Known.Generation = "", 0, "", 0
+		c.Decide.Tick = 0 // of the simulator
+		forms[i] = c
+	}
+	if diff := cmp.Diff(forms[0], forms[1]); diff != "" {
+		t.Errorf("(-JSON +TOML)\n%s", diff)
+	}
+}
+
 func FuzzConfig(f *testing.F) {
 	f.Add([]byte(file))
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -15,16 +15,33 @@
 	maxAttempts = 1<<16 - 1 // attempt numbers are two bytes
 )
 
-// settings is the path=value text of a launch. The first problem met is kept in err.
+// settings is the path=value text of a launch, with the problems met.
 type settings struct {
 	values map[string]string
-	err    error
+	faults []SettingError
 }
 
+// SettingError is what is wrong with one setting.
+type SettingError struct {
+	Key  string // dotted path
+	Text string
+}
+
+func (e SettingError) Error() string { return "setting " + e.Key + ": " + e.Text }
+
 // ParseSettings reads the settings of a launch. Keys that it does not know are skipped; an absent optional
 // one takes the meaning that the wire page gives it; a required one that is missing or does not parse is
-// reported by its name.
+// reported by its name: the first one here, all of them by CheckSettings.
 func ParseSettings(text []byte) (decide.Config, error) {
+	c, faults := CheckSettings(text)
+	if len(faults) > 0 {
+		return c, faults[0]
+	}
+	return c, nil
+}
+
+// CheckSettings reads the settings of a launch as ParseSettings does and returns every fault.
+func CheckSettings(text []byte) (decide.Config, []SettingError) {
 	s := &settings{values: map[string]string{}}
 	for _, line := range strings.Split(string(text), "\n") {
 		if key, value, ok := strings.Cut(strings.TrimSuffix(line, "\r"), "="); ok {
@@ -98,15 +115,15 @@
 			Quota: s.number(at+"quota_rps", 0),
 		})
 	}
-	return c, s.err
+	return c, s.faults
 }
 
 // need as a default marks a setting that must be there.
 const need = -1
 
 func (s *settings) fail(key, format string, args ...any) {
-	if s.err == nil {
-		s.err = fmt.Errorf("setting %s: %s", key, fmt.Sprintf(format, args...))
+	if len(s.faults) == 0 || s.faults[len(s.faults)-1].Key != key { // the first of one key says it best
+		s.faults = append(s.faults, SettingError{key, fmt.Sprintf(format, args...)})
 	}
 }
 
