--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	for f in FuzzRequest FuzzReply FuzzList FuzzReport; do \
 		go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZTIME) ./internal/protocol || exit 1; done
 	go test -run '^$$' -fuzz '^FuzzConfig$$' -fuzztime $(FUZZTIME) ./internal/program
+	go test -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) ./internal/config
 
 clean:
 	rm -rf bin logs
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -496,8 +496,12 @@
 	for _, pair := range j.tally.overlaps {
 		first, second := pair[0], pair[1]
 		if !first.closed || first.shut > second.at+slack {
-			j.broke(Effect, second.sidecar, "%s %x out twice at once, at w%03d and w%03d", j.className(second.call), second.call.id,
-				first.worker, second.worker)
+			until := "the end"
+			if first.closed {
+				until = first.shut.String()
+			}
+			j.broke(Effect, second.sidecar, "%s %x out twice at once, at w%03d from %v to %s and at w%03d from %v", j.className(second.call),
+				second.call.id, first.worker, first.at, until, second.worker, second.at)
 		}
 	}
 }
--- a/internal/lab/stage/lateness.go
+++ b/internal/lab/stage/lateness.go
@@ -25,7 +25,7 @@
 // Bounds past which a day is void. The judge orders two sockets' events within 50 ms.
 const (
 	latestTimerP99 = 15 * time.Millisecond
-	latestTimer    = 150 * time.Millisecond
+	latestTimer    = 50 * time.Millisecond
 	latestDispatch = 25 * time.Millisecond
 	busiest        = 0.97
 )
--- a/internal/lab/stage/worker.go
+++ b/internal/lab/stage/worker.go
@@ -53,7 +53,8 @@
 	sidecar int
 	gone    chan struct{} // closed with the connection
 	once    sync.Once
-	fresh   bool // no request has come on it yet
+	fresh   bool        // no request has come on it yet
+	dead    atomic.Bool // reset at the next request: the worker's close crossed it
 }
 
 func (c *workerConn) end(hard bool) {
@@ -259,6 +260,11 @@
 		if x == nil {
 			return
 		}
+		if c.dead.Load() {
+			h.closed(x)
+			c.end(true)
+			return
+		}
 		h.work.Go(func() { h.answer(x) })
 		_, err = r.Peek(1)
 		if !x.answered.Load() {
@@ -429,8 +435,12 @@
 	h.observe(judge.Event{Kind: judge.Ran, Serial: x.serial, Body: hash(body)})
 	h.write(x, 200, "", body)
 	if h.met("reset") {
-		h.pause(time.Duration(rand.IntN(30))*time.Millisecond, c)
-		c.end(true)
+		if rand.IntN(2) == 0 { // while idle; else a close that crosses the next call
+			h.pause(time.Duration(rand.IntN(30))*time.Millisecond, c)
+			c.end(true)
+		} else {
+			c.dead.Store(true)
+		}
 	}
 }
 
