A seam for networks under transport and under the laboratory's stage

Need: the whole program is to run on virtual time over a network in memory, unchanged in what it does.

Change: transport.Network and Socket stand where net was called; the system's sockets keep their gathered writes and their looking without reading.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,6 +16,7 @@
 
 	"burlpass/internal/logging"
 	"burlpass/internal/program"
+	"burlpass/internal/transport"
 )
 
 // The exit codes of every sub-command.
@@ -130,7 +131,7 @@
 		return wrong(err)
 	}
 	config.Limits.Apply()
-	sidecar, err := program.New(config, log)
+	sidecar, err := program.New(transport.System{}, config, log)
 	if err != nil {
 		return wrong(err)
 	}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -135,7 +135,13 @@
 		return nil, err
 	}
 	plan := world.Draw(s, seed)
-	o := stage.Options{Plan: plan, Command: b.command, Dir: dir, Settings: settings}
+	system := &stage.System{Command: b.command, Dir: dir, Sockets: s.Limits.Sockets}
+	block, release, err := system.Claim()
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	o := stage.Options{Plan: plan, Block: block, Sockets: system, Sidecars: system, Settings: settings}
 	if !quiet && terminal(a.stderr) {
 		o.Progress = func(p stage.Progress) {
 			fmt.Fprintf(a.stderr, "\r\x1b[K%s %4.1f/%.0f s  tries %d served %d refused %d broken %d  %s", s.Name, p.At.Seconds(),
--- a/internal/lab/stage/faults.go
+++ b/internal/lab/stage/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -278,7 +277,7 @@
 		for range n {
 			all.Go(func() {
 				for ctx.Err() == nil && !s.ended() {
-					c, err := net.DialTimeout("tcp", s.net.sidecar(sidecar), 500*time.Millisecond)
+					c, err := s.sockets.Dial(s.net.sidecar(sidecar), 500*time.Millisecond)
 					if err == nil {
 						c.SetDeadline(time.Now().Add(time.Duration(1+rand.IntN(4000)) * time.Millisecond))
 						fmt.Fprint(c, ways[rand.IntN(len(ways))])
--- a/internal/lab/stage/registry.go
+++ b/internal/lab/stage/registry.go
@@ -32,7 +32,7 @@
 func (r *registry) start() error {
 	for i := range r.plan.Sidecar {
 		for _, second := range []bool{false, true} {
-			ln, err := listen(r.net.registry(i, second))
+			ln, err := r.sockets.Listen(r.net.registry(i, second))
 			if err != nil {
 				return err
 			}
--- a/internal/lab/world/world_test.go
+++ b/internal/lab/world/world_test.go
@@ -1,7 +1,9 @@
 package world
 
 import (
+	"flag"
 	"math"
+	"os"
 	"testing"
 	"time"
 
@@ -11,6 +13,12 @@
 	"burlpass/internal/lab/scenario"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.checks", "40") // make check has other things to do as well
+	os.Exit(m.Run())
+}
+
 func drawKind(t *rapid.T) scenario.Kind {
 	return scenario.Kind{
 		Cores: rapid.IntRange(1, 4).Draw(t, "cores"), Speed: rapid.Float64Range(0.2, 3).Draw(t, "speed"),
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -33,23 +33,24 @@
 // Sidecar is a sidecar that listens.
 type Sidecar struct {
 	config   *Config
+	network  transport.Network
 	log      *slog.Logger
 	listener *transport.Listener
 	pool     *transport.Pool
 }
 
-// New listens, and readies the connections' bounds, for what c says.
-func New(c *Config, logger *slog.Logger) (*Sidecar, error) {
+// New listens on the network, and readies the connections' bounds, for what c says.
+func New(network transport.Network, c *Config, logger *slog.Logger) (*Sidecar, error) {
 	clients, spare, workers := transport.Split(c.Limits.Sockets)
-	listener, err := transport.Listen(c.Listen, clients, spare)
+	listener, err := transport.Listen(network, c.Listen, clients, spare)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_LISTEN: %w", err)
 	}
 	logger.Info("start", "name", c.Name, "listen", listener.Addr().String(), "registry", c.Registry,
 		"workers", len(c.Known.Instances), "client_sockets", clients, "worker_sockets", workers,
 		"cores", c.Limits.Cores, "memory_mb", c.Limits.MemoryMB)
-	return &Sidecar{config: c, log: logger, listener: listener,
-		pool: transport.NewPool(transport.NewBudget(workers), c.Decide.ConnectTime,
+	return &Sidecar{config: c, network: network, log: logger, listener: listener,
+		pool: transport.NewPool(network, transport.NewBudget(workers), c.Decide.ConnectTime,
 			time.Duration(idleShare*float64(c.Decide.IdleClose)))}, nil
 }
 
@@ -67,7 +68,7 @@
 	defer shut()
 	c := s.config
 	router := routing.New(working, routing.Config{
-		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Registry: c.Registry, Log: s.log,
+		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Network: s.network, Registry: c.Registry, Log: s.log,
 		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns},
 	}, c.Known)
 	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes,
--- a/internal/protocol/registry.go
+++ b/internal/protocol/registry.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"burlpass/internal/transport"
 )
 
 // Lifecycle is what the registry says of a worker.
@@ -121,9 +123,10 @@
 
 // Registry asks the registry's service for lists. A Registry is used by one goroutine at a time.
 type Registry struct {
-	Addr string
-	conn net.Conn
-	r    *bufio.Reader
+	Network transport.Network
+	Addr    string
+	conn    net.Conn
+	r       *bufio.Reader
 }
 
 // Watch waits for something newer than a generation.
@@ -150,8 +153,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if g.conn == nil {
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp", g.Addr)
+		conn, err := g.Network.Dial(ctx, g.Addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -66,7 +66,7 @@
 // call fails. That failure is told once; the module chooses when to watch again.
 func (r *Router) follow(s *subscription) {
 	defer s.cancel()
-	registry := &protocol.Registry{Addr: s.addr}
+	registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
 	defer registry.Close()
 	for {
 		next := time.After(watchPace)
@@ -104,7 +104,7 @@
 	r.mu.Lock()
 	from := r.source
 	r.mu.Unlock()
-	registry := &protocol.Registry{Addr: from.addr}
+	registry := &protocol.Registry{Network: r.Network, Addr: from.addr}
 	defer registry.Close()
 	list, err := registry.Fetch(r.ctx)
 	if err != nil {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -24,7 +24,8 @@
 	Seed     uint64
 	Names    Names
 	Workers  *protocol.Workers
-	Registry string // its address at the start
+	Network  transport.Network // on which the registry is reached
+	Registry string            // its address at the start
 	Log      *slog.Logger
 }
 
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -99,8 +99,8 @@
 }
 
 // Listen listens on addr for at most limit connections and a few spare ones, which are served as crowded.
-func Listen(addr string, limit, spare int) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+func Listen(network Network, addr string, limit, spare int) (*Listener, error) {
+	ln, err := network.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,12 +6,10 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -146,13 +144,13 @@
 
 // send writes a part of the message, unless an answer has begun to come, which cannot be the answer to it.
 func (a *Attempt) send(c *conn, part net.Buffers, isLast bool) bool {
-	if !c.quiet() {
+	if !c.Quiet() {
 		a.settle(false, ErrEarly)
 		c.Close()
 		return false
 	}
 	want := size(part)
-	n, err := part.WriteTo(c.Conn)
+	n, err := part.WriteTo(c.Socket)
 	if err != nil {
 		a.settle(isLast && n >= want, err)
 		c.Close()
@@ -190,61 +188,17 @@
 // conn is a connection to a worker. Its own goroutine reads it all its life, so that a worker's close is
 // seen while the connection is idle.
 type conn struct {
-	net.Conn
+	Socket
 	peer Peer
-	raw  syscall.RawConn
 	r    *bufio.Reader
 	cur  *Attempt // guarded by the pool; nil while idle
 	dead bool     // guarded by the pool: ended while idle
 	lent bool     // guarded by the pool: evicted, its descriptor counts for the connection that replaces it
 }
 
-func newConn(c net.Conn, peer Peer, a *Attempt) (*conn, error) {
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, peer: peer, raw: raw, r: bufio.NewReaderSize(c, readBuffer), cur: a}, nil
-}
-
-// await waits until there is something to read, and reads nothing: until then quiet sees all that has come.
-func (c *conn) await() error {
-	var state error
-	err := c.raw.Read(func(fd uintptr) bool {
-		state = peek(fd)
-		return !errors.Is(state, syscall.EAGAIN)
-	})
-	if err != nil {
-		return err
-	}
-	return state
-}
-
-// quiet tells that nothing has come on an idle connection: not its end, and no bytes, which would be taken for
-// the answer to the next message.
-func (c *conn) quiet() bool {
-	state := error(nil)
-	err := c.raw.Control(func(fd uintptr) { state = peek(fd) })
-	return err == nil && errors.Is(state, syscall.EAGAIN)
-}
-
-// peek returns nil where there are bytes to read, EAGAIN where there is nothing yet.
-func peek(fd uintptr) error {
-	var b [1]byte
-	for {
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EINTR):
-			continue
-		case err == nil && n == 0:
-			return io.EOF
-		}
-		return err
-	}
-}
-
 // Pool holds the connections to the workers: one exchange at a time on each, idle ones kept for reuse.
 type Pool struct {
+	network     Network
 	budget      *Budget
 	connectTime time.Duration
 	idleTime    time.Duration // a connection idle for longer is closed, well before the worker would
@@ -253,9 +207,9 @@
 	idle map[Peer][]*conn // newest last
 }
 
-// NewPool returns a Pool that takes its descriptors from budget.
-func NewPool(budget *Budget, connectTime, idleTime time.Duration) *Pool {
-	return &Pool{budget: budget, connectTime: connectTime, idleTime: idleTime, idle: map[Peer][]*conn{}}
+// NewPool returns a Pool that connects over network and takes its descriptors from budget.
+func NewPool(network Network, budget *Budget, connectTime, idleTime time.Duration) *Pool {
+	return &Pool{network: network, budget: budget, connectTime: connectTime, idleTime: idleTime, idle: map[Peer][]*conn{}}
 }
 
 // readBuffer holds a worker's whole head; longer heads are malformed.
@@ -288,7 +242,7 @@
 		if c == nil {
 			return nil
 		}
-		if !c.quiet() {
+		if !c.Quiet() {
 			c.Close()
 			continue
 		}
@@ -306,20 +260,13 @@
 
 func (p *Pool) open(ctx context.Context, peer Peer, a *Attempt) {
 	defer a.cancel()
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", peer.Addr)
-	if err != nil {
-		p.budget.give()
-		a.settle(false, err)
-		return
-	}
-	c, err := newConn(raw, peer, a)
+	socket, err := p.network.Dial(ctx, peer.Addr)
 	if err != nil {
-		raw.Close()
 		p.budget.give()
 		a.settle(false, err)
 		return
 	}
+	c := &conn{Socket: socket, peer: peer, r: bufio.NewReaderSize(socket, readBuffer), cur: a}
 	a.write(c)
 	p.serve(c)
 }
@@ -328,7 +275,7 @@
 func (p *Pool) serve(c *conn) {
 	defer p.close(c)
 	for {
-		err := c.await()
+		err := c.Await()
 		p.mu.Lock()
 		a := c.cur
 		if a == nil { // retired by its deadline, closed by the worker, or bytes that nobody asked for
--- /dev/null
+++ b/internal/transport/system.go
@@ -0,0 +1,75 @@
+//go:build !wasip1
+
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+)
+
+// System is the network of the system's sockets.
+type System struct{}
+
+// Listen listens on a TCP address.
+func (System) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Dial connects over TCP.
+func (System) Dial(ctx context.Context, addr string) (Socket, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	t := c.(*net.TCPConn)
+	raw, err := t.SyscallConn()
+	if err != nil {
+		t.Close()
+		return nil, err
+	}
+	return &socket{t, raw}, nil
+}
+
+// socket is a TCP connection. Embedding keeps its gathered writes.
+type socket struct {
+	*net.TCPConn
+	raw syscall.RawConn
+}
+
+// Await waits until there is something to read, and reads nothing: until then Quiet sees all that has come.
+func (s *socket) Await() error {
+	var state error
+	err := s.raw.Read(func(fd uintptr) bool {
+		state = peek(fd)
+		return !errors.Is(state, syscall.EAGAIN)
+	})
+	if err != nil {
+		return err
+	}
+	return state
+}
+
+// Quiet tells that nothing has come on an idle connection: not its end, and no bytes, which would be taken for
+// the answer to the next message.
+func (s *socket) Quiet() bool {
+	state := error(nil)
+	err := s.raw.Control(func(fd uintptr) { state = peek(fd) })
+	return err == nil && errors.Is(state, syscall.EAGAIN)
+}
+
+// peek returns nil where there are bytes to read, EAGAIN where there is nothing yet.
+func peek(fd uintptr) error {
+	var b [1]byte
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case err == nil && n == 0:
+			return io.EOF
+		}
+		return err
+	}
+}
