Simulation: the whole program on a virtual clock in wazero, replayable from a seed

Need: hall losses, stalled fifths and a lagging list all at once are too rare and too slow to wait for.

Speed, determinism and mutants are still to be measured.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -102,7 +102,7 @@
 		RunE: a.serve,
 	}
 	serve.Flags().StringVar(&a.config, "config", "", "configuration file, TOML or the platform's JSON")
-	root.AddCommand(serve, a.versionCommand(), a.checkCommand(), a.labCommand(), a.docsCommand())
+	root.AddCommand(serve, a.versionCommand(), a.checkCommand(), a.labCommand(), a.simCommand(), a.docsCommand())
 	return root
 }
 
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -199,6 +199,9 @@
 	j.violations = append(j.violations, Violation{j.now, rule, sidecar, fmt.Sprintf(format, args...)})
 }
 
+// Until sets the time after which calls do not count for or against the day's worth.
+func (j *Judge) Until(t time.Duration) { j.tally.fleet.Until = t }
+
 // Violations are the breaches so far.
 func (j *Judge) Violations() []Violation { return j.violations }
 
--- a/internal/lab/stage/lateness.go
+++ b/internal/lab/stage/lateness.go
@@ -42,7 +42,11 @@
 	done     chan struct{}
 }
 
-func newLateness() *lateness {
+// newLateness begins to measure; under a virtual clock nothing is late and nothing is measured.
+func newLateness(virtual bool) *lateness {
+	if virtual {
+		return nil
+	}
 	l := &lateness{timer: hdrhistogram.New(1, 60_000_000, 2), dispatch: hdrhistogram.New(1, 60_000_000, 2),
 		begun: time.Now(), cpu: ownCPU(), busy: systemCPU(), over: make(chan struct{}), done: make(chan struct{})}
 	go func() {
@@ -63,12 +67,18 @@
 }
 
 func (l *lateness) dispatched(by time.Duration) {
+	if l == nil {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dispatch.RecordValue(max(1, by.Microseconds()))
 }
 
 func (l *lateness) stop() Lateness {
+	if l == nil {
+		return Lateness{}
+	}
 	close(l.over)
 	<-l.done
 	ms := func(us int64) float64 { return float64(us) / 1000 }
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -27,7 +27,8 @@
 	Settings []string                             // path=value, in place of what the scenario gives the sidecars
 	Progress func(p Progress)                     // called now and then; may be nil
 	Virtual  bool                                 // time is virtual: nothing runs late
-	Watch    func(judge.Event, []judge.Violation) // each event as it happens, with the breaches so far; may be nil
+	Watch    func(judge.Event, []judge.Violation) // each event as it happens, with what it broke; may be nil
+	Done     func()                               // called when the day is over, before anything is ended; may be nil
 }
 
 // Progress is where a run stands.
@@ -69,6 +70,9 @@
 
 	mu     sync.Mutex
 	events []judge.Event
+	live   *judge.Judge // follows the day as it happens, where that was asked for
+	watch  func(judge.Event, []judge.Violation)
+	told   int // breaches that watch has been shown
 	counts Progress
 
 	tries sync.Map // trace id to *try
@@ -96,7 +100,11 @@
 func (s *stage) observeAt(e judge.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.events = append(s.events, e)
+	if s.live != nil {
+		s.follow(e)
+	} else {
+		s.events = append(s.events, e)
+	}
 	switch {
 	case e.Kind == judge.Asked:
 		s.counts.Calls++
@@ -109,6 +117,14 @@
 	}
 }
 
+// follow hands an event to the live judge and shows it with what it broke.
+func (s *stage) follow(e judge.Event) {
+	s.live.Observe(e)
+	broken := s.live.Violations()
+	s.watch(e, broken[s.told:])
+	s.told = len(broken)
+}
+
 func (s *stage) know(t *try) { s.tries.Store(t.trace, t) }
 
 // forgetLater drops a try once no attempt of it can come any more.
@@ -268,9 +284,9 @@
 func (s *stage) play(ctx context.Context, o Options) (*Result, error) {
 	runtime.GC()
 	// The day begins now: the clock starts again, so that its script and the calls count from here.
-	s.rebase()
+	s.rebase(o.Watch)
 
-	watch := newLateness()
+	watch := newLateness(o.Virtual)
 	var clients sync.WaitGroup
 	bySidecar := make([][]*world.Arrival, len(s.plan.Sidecar))
 	for i := range s.plan.Arrivals {
@@ -315,6 +331,9 @@
 			on = false
 		}
 	}
+	if o.Done != nil && !cut {
+		o.Done()
+	}
 	played := s.now()
 	late := watch.stop()
 	close(s.over)
@@ -323,7 +342,7 @@
 }
 
 // rebase starts the clock again, with warm, empty workers.
-func (s *stage) rebase() {
+func (s *stage) rebase(watch func(judge.Event, []judge.Violation)) {
 	for _, h := range s.hosts {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -343,6 +362,30 @@
 		}
 		clear(h.waiting)
 	}
+	if watch != nil {
+		s.watch = watch
+		s.live = judge.New(s.fleet(s.plan.Length))
+		for _, e := range s.events {
+			s.follow(e)
+		}
+	}
+}
+
+// fleet is what the judge must know, of the calls that came until a time.
+func (s *stage) fleet(until time.Duration) judge.Fleet {
+	f := judge.Fleet{Scenario: s.plan.Scenario, Until: until}
+	for _, w := range s.plan.Fleet {
+		f.Worker = append(f.Worker, w.Hall)
+	}
+	for _, c := range s.plan.Sidecar {
+		f.Sidecar = append(f.Sidecar, c.Hall)
+	}
+	for _, a := range s.plan.Arrivals {
+		if a.At <= until {
+			f.Arrivals = append(f.Arrivals, judge.ArrivalOf{At: a.At, Class: a.Class, Sidecar: a.Sidecar})
+		}
+	}
+	return f
 }
 
 func (s *stage) each(o Options) {
@@ -368,26 +411,17 @@
 	o.Progress(p)
 }
 
-// judged hands the day to the judge.
+// judged hands the day to the judge, where none has followed it.
 func (s *stage) judged(played time.Duration, cut bool, late Lateness) *Result {
-	fleet := judge.Fleet{Scenario: s.plan.Scenario}
-	for _, w := range s.plan.Fleet {
-		fleet.Worker = append(fleet.Worker, w.Hall)
-	}
-	for _, c := range s.plan.Sidecar {
-		fleet.Sidecar = append(fleet.Sidecar, c.Hall)
-	}
-	work := judge.Work{}
-	fleet.Until = played
+	until := played
 	if cut { // what there was no time to answer is nobody's fault
-		fleet.Until = played - tail
+		until = played - tail
 	}
+	work := judge.Work{}
 	for _, a := range s.plan.Arrivals {
-		if a.At > played {
-			break
+		if a.At <= until {
+			work.Asked += a.Work.Seconds()
 		}
-		fleet.Arrivals = append(fleet.Arrivals, judge.ArrivalOf{At: a.At, Class: a.Class, Sidecar: a.Sidecar})
-		work.Asked += a.Work.Seconds()
 	}
 	for _, h := range s.hosts {
 		h.mu.Lock()
@@ -397,16 +431,23 @@
 		h.mu.Unlock()
 	}
 	s.mu.Lock()
-	events := slices.Clone(s.events)
-	s.mu.Unlock()
-	slices.SortStableFunc(events, func(a, b judge.Event) int { return int(a.At - b.At) })
-	j := judge.New(fleet)
-	for _, e := range events {
-		if e.At <= played {
-			j.Observe(e)
+	defer s.mu.Unlock()
+	j := s.live
+	if j == nil {
+		events := slices.Clone(s.events)
+		slices.SortStableFunc(events, func(a, b judge.Event) int { return int(a.At - b.At) })
+		j = judge.New(s.fleet(played))
+		for _, e := range events {
+			if e.At <= played {
+				j.Observe(e)
+			}
 		}
 	}
-	j.Finish(played)
+	j.Until(until)
+	if !cut || s.live == nil {
+		j.Finish(played)
+	}
+	s.live = nil
 	return &Result{Report: j.Report(work), Lateness: late, Played: played, Cut: cut}
 }
 
--- a/internal/lab/stage/worker.go
+++ b/internal/lab/stage/worker.go
@@ -578,7 +578,17 @@
 	if !h.through(x.conn) {
 		return
 	}
-	switch rand.IntN(4) {
+	switch rand.IntN(6) {
+	case 4, 5: // a second answer to nothing, at once or a moment later, when the connection may serve another call
+		h.observe(judge.Event{Kind: judge.Ran, Serial: x.serial, Body: hash(body)})
+		good := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if rand.IntN(2) == 0 {
+			h.send(x, good+good)
+			return
+		}
+		h.send(x, good)
+		h.pause(time.Duration(rand.IntN(20000))*time.Microsecond, x.conn)
+		io.WriteString(x.conn, good)
 	case 0: // ends before its length
 		h.send(x, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body)+10, body))
 		x.conn.end(false)
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -37,6 +37,11 @@
 	Known    *protocol.List
 	Decide   decide.Config
 	Names    routing.Names
+
+	// Trace is shown every event and what the module chose, under the router's lock; nil for none.
+	Trace func(decide.Event, []decide.Action)
+
+	source func() ([]byte, error) // the file's text; nil: read Path
 }
 
 // Limits is what the platform grants one sidecar.
@@ -68,6 +73,16 @@
 	return c, nil
 }
 
+// Parse is Load for a sidecar that is told everything by its caller: read gives the text of the platform's JSON, also
+// at each reload.
+func Parse(name, listen, registry string, read func() ([]byte, error)) (*Config, error) {
+	c := &Config{Path: name, Name: name, Listen: listen, Registry: registry, source: read}
+	if _, err := c.read(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
 // LoadFile reads a file that says all by itself: name, listen and registry as well.
 func LoadFile(path string) (*Config, error) {
 	c := &Config{Path: path}
@@ -98,7 +113,7 @@
 // Reload reads the file again, whole, and returns the configuration that it gives now. The registry is the
 // file's; what belongs to the process stays.
 func (c *Config) Reload() (*Config, error) {
-	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen}
+	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen, source: c.source}
 	own, err := next.read()
 	if err != nil {
 		return nil, err
@@ -136,7 +151,11 @@
 
 // read takes in the file, TOML by its ending, else the platform's JSON.
 func (c *Config) read() (own, error) {
-	text, err := os.ReadFile(c.Path)
+	source := c.source
+	if source == nil {
+		source = func() ([]byte, error) { return os.ReadFile(c.Path) }
+	}
+	text, err := source()
 	if err != nil {
 		return own{}, err
 	}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,7 @@
 	log      *slog.Logger
 	listener *transport.Listener
 	pool     *transport.Pool
+	router   atomic.Pointer[routing.Router] // once Run has begun
 }
 
 // New listens on the network, and readies the connections' bounds, for what c says.
@@ -57,6 +59,14 @@
 // Addr is where clients connect.
 func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
 
+// Open is the number of calls that have no answer yet.
+func (s *Sidecar) Open() int {
+	if r := s.router.Load(); r != nil {
+		return r.Open()
+	}
+	return 0
+}
+
 // Run serves until a signal to end arrives and everything taken has been answered. SIGHUP only reloads the
 // configuration, also between the signal to end and the end.
 func (s *Sidecar) Run(signals <-chan os.Signal) {
@@ -68,9 +78,10 @@
 	defer shut()
 	c := s.config
 	router := routing.New(working, routing.Config{
-		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Network: s.network, Registry: c.Registry, Log: s.log,
+		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Network: s.network, Registry: c.Registry, Log: s.log, Trace: c.Trace,
 		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns},
 	}, c.Known)
+	s.router.Store(router)
 	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes,
 		Draining: draining, Closing: closing, Log: s.log}
 	stopped := make(chan struct{})
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,6 +27,9 @@
 	Network  transport.Network // on which the registry is reached
 	Registry string            // its address at the start
 	Log      *slog.Logger
+
+	// Trace is shown every event and the actions that it led to, under the lock; nil for none. It must keep neither.
+	Trace func(decide.Event, []decide.Action)
 }
 
 // Names holds the settings' lists of names; the module knows a name by its position.
@@ -82,6 +85,13 @@
 	return r.up > 0
 }
 
+// Open is the number of calls that have no answer yet.
+func (r *Router) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.calls)
+}
+
 // now is the module's clock, read under the lock so that it never goes back between two events.
 func (r *Router) now() time.Duration {
 	return time.Duration(r.origin.UnixNano()) + time.Since(r.origin)
@@ -98,6 +108,9 @@
 // handle runs the module under the lock. Orders to calls are delivered at once; the rest is returned.
 func (r *Router) handle(e decide.Event) []decide.Action {
 	actions := r.balancer.Handle(r.now(), e)
+	if r.Trace != nil {
+		r.Trace(e, actions)
+	}
 	rest := make([]decide.Action, 0, len(actions))
 	for _, a := range actions {
 		switch a.Kind {
--- /dev/null
+++ b/internal/sim/mutant.go
@@ -0,0 +1,119 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Mutant is a fault put into the program at build time, to see whether the simulation finds it.
+type Mutant struct {
+	Name  string
+	About string
+	Edits []Edit
+}
+
+// Edit replaces a text that stands once in a file, named from the module's root.
+type Edit struct{ File, Old, New string }
+
+// Mutants are the faults that the simulation must find.
+func Mutants() []Mutant {
+	one := func(name, about, file, old, new string) Mutant {
+		return Mutant{name, about, []Edit{{file, old, new}}}
+	}
+	return []Mutant{
+		one("unsafe-resent", "the module sends a call again though it may have run", "decide/decide.go",
+			"b.repeatable(r, s) && (b.share(s)", "(b.share(s)"),
+		one("keyed-anywhere", "a keyed call is repeated in any hall", "decide/decide.go",
+			"return s.Zone == first.s.Zone", "return true"),
+		one("refuses-what-ran", "a call that may have run is refused", "decide/decide.go",
+			"return r.first() == nil || r.class.Effect == Safe ||", "return true ||"),
+		one("cold-unguarded", "a cold worker's credit is forgotten", "decide/decide.go",
+			"(b.share(s) >= 1 || s.credit >= 1)", "true"),
+		one("drain-ignored", "draining counts as up", "internal/routing/registry.go",
+			"state = decide.Draining", "state = decide.Ready"),
+		one("reset-never-ran", "a reset after the last byte counts as never run", "internal/routing/call.go",
+			"	case result.Sent:\n		return decide.Reset", "	case result.Sent:\n		return decide.ConnectFailed"),
+		one("error-never-ran", "an error counts as turned away", "internal/routing/call.go",
+			"	return decide.Errored\n}\n\n// failed is", "	return decide.Full\n}\n\n// failed is"),
+		one("cancel-leaves-open", "giving up leaves the connection open", "internal/transport/pool.go",
+			"		a.conn.Close() // returns once", "		// returns once"),
+		one("aborted-reused", "a connection is used again after a cancel", "internal/transport/pool.go",
+			"		a.conn.Close() // returns once the descriptor is closed, so the next attempt goes out after it\n	}\n	a.settleLocked(a.stage != waiting, ErrAborted)",
+			"		a.conn.cur = nil\n	}\n	a.settleLocked(false, ErrAborted)"),
+		{"surplus-reused", "bytes beyond an answer are taken for the next one", []Edit{
+			{"internal/transport/pool.go", "if c.r.Buffered() > 0 || p.idleTime <= 0 {", "if p.idleTime <= 0 {"},
+			{"internal/transport/pool.go", "		err := c.Await()\n", "		var err error\n		if c.r.Buffered() == 0 {\n			err = c.Await()\n		}\n"}}},
+		{"unasked-served", "what came on an idle connection answers the next call", []Edit{
+			{"internal/transport/pool.go", "		if !c.Quiet() {\n			c.Close()\n			continue\n		}\n", ""},
+			{"internal/transport/pool.go", "	if !c.Quiet() {\n		a.settle(false, ErrEarly)", "	if false {\n		a.settle(false, ErrEarly)"},
+			{"internal/transport/pool.go", "		if a == nil { // retired", "		if a == nil && err == nil {\n			p.mu.Unlock()\n			time.Sleep(time.Millisecond)\n			continue\n		}\n		if a == nil { // retired"}}},
+		one("two-answers", "a failure is written twice", "internal/protocol/acceptor.go",
+			"	default:\n		c.write(502, nil, \"\", nil)", "	default:\n		c.write(502, nil, \"\", nil)\n		c.write(502, nil, \"\", nil)"),
+		one("held-back", "a refusal waits until near its client's end", "internal/routing/call.go",
+			"				final = &protocol.Answer{Verdict: protocol.Refused, Wait: a.Wait}",
+			"				time.Sleep(time.Until(t.end) * 9 / 10)\n				final = &protocol.Answer{Verdict: protocol.Refused, Wait: a.Wait}"),
+		one("calls-leak", "a call is never let go", "internal/routing/call.go",
+			"	delete(r.calls, t.id)\n", "	_ = t.id\n"),
+		one("late-answer", "a client's time is taken for half as long again", "internal/protocol/acceptor.go",
+			"max(expires-time.Since(c.started)-answerMargin, 0)", "expires*3/2"),
+		one("hup-ends", "SIGHUP ends the program", "internal/program/run.go",
+			"if signal == syscall.SIGHUP {", "if signal == syscall.SIGKILL {"),
+		one("ends-early", "a planned end does not wait for what is open", "internal/program/run.go",
+			"	s.listener.Wait()\n", ""),
+		one("late-list", "the old registry's late list is believed after a move", "internal/routing/registry.go",
+			"	if from != r.source {\n		r.mu.Unlock()\n		return\n	}\n	older", "	older"),
+		one("older-list", "a list that is older than the one at hand is believed", "internal/routing/registry.go",
+			"older := list.Generation < r.generation && !r.foreign", "older := false"),
+		one("cut-body-served", "an answer that ends early is served", "internal/protocol/worker.go",
+			"if reply.Body, err = readBody(r, &h, nil); err != nil {", "if reply.Body, err = readBody(r, &h, nil); err != nil && len(reply.Body) == 0 {"),
+		one("lengths-ignored", "two lengths are let pass, the last one counts", "internal/protocol/head.go",
+			"h.chunked || h.length >= 0 && h.length != int64(n)", "h.chunked"),
+		one("key-lost", "the idempotency key is not passed on", "internal/protocol/worker.go",
+			"!is(f.name, headerExpires) && !is(f.name, \"Host\")", "!is(f.name, headerExpires) && !is(f.name, \"Host\") && !is(f.name, headerKey)"),
+		one("still-unasked", "nobody asks again before writing", "internal/routing/call.go",
+			"func() bool { return !t.gone.Load() && r.still(w) }", "func() bool { return true }"),
+		one("slots-leak", "a client's slot is never given back", "internal/transport/listen.go",
+			"	<-l.slots\n", ""),
+	}
+}
+
+// Overlay writes the mutant's files into dir and returns the path of a file for go build -overlay. root is the
+// module's root. An edit whose text does not stand there exactly once is an error: the mutant is out of date.
+func (m Mutant) Overlay(root, dir string) (string, error) {
+	texts := map[string]string{}
+	for _, e := range m.Edits {
+		path, err := filepath.Abs(filepath.Join(root, e.File))
+		if err != nil {
+			return "", err
+		}
+		text, known := texts[path]
+		if !known {
+			b, err := os.ReadFile(path)
+			if err != nil {
+				return "", err
+			}
+			text = string(b)
+		}
+		if n := strings.Count(text, e.Old); n != 1 {
+			return "", fmt.Errorf("mutant %s: its text stands %d times in %s:\n%s", m.Name, n, e.File, e.Old)
+		}
+		texts[path] = strings.Replace(text, e.Old, e.New, 1)
+	}
+	replace := map[string]string{}
+	for path, text := range texts {
+		to := filepath.Join(dir, m.Name+"-"+filepath.Base(path))
+		if err := os.WriteFile(to, []byte(text), 0o600); err != nil {
+			return "", err
+		}
+		replace[path] = to
+	}
+	overlay, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	to := filepath.Join(dir, m.Name+".json")
+	return to, os.WriteFile(to, overlay, 0o600)
+}
--- /dev/null
+++ b/internal/sim/runner/runner_test.go
@@ -0,0 +1,168 @@
+package runner
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"burlpass/internal/sim"
+)
+
+// guest builds and compiles the guest once for all tests.
+var guest = sync.OnceValues(func() ([]byte, error) { return Build(context.Background(), "../../..", "") })
+
+// seeds is how many drawn days make check plays.
+const seeds = 240
+
+func newRunner(t *testing.T) *Runner {
+	t.Helper()
+	wasm, err := guest()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(context.Background(), wasm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close(context.Background()) })
+	return r
+}
+
+// Days drawn from seeds break no rule.
+func TestSeeds(t *testing.T) {
+	r := newRunner(t)
+	queue := make(chan uint64)
+	go func() {
+		defer close(queue)
+		for seed := uint64(1); seed <= seeds; seed++ {
+			queue <- seed
+		}
+	}()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	calls := 0
+	for range 4 {
+		all.Go(func() {
+			for seed := range queue {
+				o, err := r.Play(context.Background(), sim.Request{Seed: seed})
+				mu.Lock()
+				if err != nil {
+					t.Error(err)
+				} else if calls += o.Calls; o.Bad() {
+					t.Error(o.Summary())
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	if calls < seeds*20 {
+		t.Errorf("only %d calls in %d days", calls, seeds)
+	}
+}
+
+// What once broke a rule breaks it no more.
+func TestCorpus(t *testing.T) {
+	r := newRunner(t)
+	paths, _ := filepath.Glob("../corpus/*.json")
+	for _, path := range paths {
+		s, err := sim.ReadScript(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o, err := r.Play(context.Background(), sim.Request{Script: s})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if o.Bad() {
+			t.Errorf("%s: %s", filepath.Base(path), o.Summary())
+		}
+		if s.Why == "" {
+			t.Errorf("%s says nothing of why", path)
+		}
+	}
+}
+
+// The same seed gives the same day, byte for byte of its trace, also from a guest compiled anew; another seed another.
+func TestSameSeedSameDay(t *testing.T) {
+	first, second := newRunner(t), newRunner(t)
+	seen := map[string]uint64{}
+	for _, seed := range []uint64{3, 8, 16, 24} {
+		a, err := first.Play(context.Background(), sim.Request{Seed: seed, Trace: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := second.Play(context.Background(), sim.Request{Seed: seed, Trace: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.Hash != b.Hash || len(a.Trace) != len(b.Trace) {
+			for i := range min(len(a.Trace), len(b.Trace)) {
+				if a.Trace[i] != b.Trace[i] {
+					t.Fatalf("seed %d, line %d:\n%s\n%s", seed, i+1, a.Trace[i], b.Trace[i])
+				}
+			}
+		}
+		if other, ok := seen[a.Hash]; ok {
+			t.Errorf("seeds %d and %d gave the same day", seed, other)
+		}
+		seen[a.Hash] = seed
+		if len(a.Trace) < 1000 || a.Played < 8*time.Second {
+			t.Errorf("seed %d: a trace of %d lines over %v", seed, len(a.Trace), a.Played)
+		}
+	}
+}
+
+// Every mutant still fits the program.
+func TestMutantsApply(t *testing.T) {
+	dir := t.TempDir()
+	names := map[string]bool{}
+	for _, m := range sim.Mutants() {
+		path, err := m.Overlay("../../..", dir)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if _, err := os.Stat(path); err != nil || names[m.Name] {
+			t.Errorf("%s: %v, twice %v", m.Name, err, names[m.Name])
+		}
+		names[m.Name] = true
+	}
+}
+
+// One mutant of each kind is built and found: a simulation that finds nothing proves nothing.
+func TestMutantsFound(t *testing.T) {
+	dir := t.TempDir()
+	for _, m := range sim.Mutants() {
+		if m.Name != "drain-ignored" && m.Name != "reset-never-ran" {
+			continue
+		}
+		overlay, err := m.Overlay("../../..", dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wasm, err := Build(context.Background(), "../../..", overlay)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := New(context.Background(), wasm)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := false
+		for seed := uint64(1); seed <= 60 && !found; seed++ {
+			o, err := r.Play(context.Background(), sim.Request{Seed: seed})
+			if err != nil {
+				t.Fatal(err)
+			}
+			found = o.Bad()
+		}
+		r.Close(context.Background())
+		if !found {
+			t.Errorf("%s: not found in 60 seeds", m.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/script.go
@@ -0,0 +1,182 @@
+// Package sim plays whole days on virtual time: the real acceptor, router, pool, parsers and decision module on a
+// network in memory, against the laboratory's world, with the laboratory's judge after each step. A day is drawn from
+// its seed; the same seed gives the same day, byte for byte of its trace.
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"burlpass/internal/lab/scenario"
+	"burlpass/internal/sim/memnet"
+)
+
+// Script is one day to play, as a file keeps it.
+type Script struct {
+	Seed     uint64             `json:"seed"` // of all that the day draws
+	Scenario *scenario.Scenario `json:"scenario"`
+	Net      memnet.Config      `json:"net"`
+	Stalls   []Jump             `json:"stalls,omitempty"` // moments without CPU: the clock runs on while nothing works
+	Jumps    []Jump             `json:"jumps,omitempty"`  // the wall clock is set forward
+	Why      string             `json:"why,omitempty"`    // in a corpus: what the day once found
+}
+
+// Jump is a step of a clock.
+type Jump struct {
+	At time.Duration `json:"at"`
+	By time.Duration `json:"by"`
+}
+
+// The size of a drawn day.
+const (
+	drawnWorkers  = 12
+	drawnSidecars = 3
+	drawnLength   = 10 * time.Second
+)
+
+// base is what every drawn day has: short warm-ups and quick news, so that much happens in ten seconds.
+const base = `name = "drawn"
+about = "drawn from a seed"
+length = "10s"
+workers = 12
+sidecars = 3
+halls = ["hall-a", "hall-b", "hall-c"]
+[connection]
+idle_close = "2s"
+[registry]
+notice = "300ms"
+silent_notice = "2s"
+capacity = 30
+[limits]
+sockets = 256
+[[kind]]
+name = "new"
+speed = 1.2
+error_rate = 0.01
+cold_time = "6s"
+[[kind]]
+name = "old"
+speed = 0.7
+cold_time = "8s"
+`
+
+// Draw draws a day. Every eighth seed plays one of the hard cases by name, with more drawn around it.
+func Draw(seed uint64) *Script {
+	rnd := rand.New(rand.NewPCG(seed, 0x51))
+	s, err := scenario.Parse("drawn", []byte(base))
+	if err != nil {
+		panic(err)
+	}
+	s.Name = fmt.Sprintf("seed-%d", seed)
+	s.Clients.Load = 0.2 + 0.7*rnd.Float64()
+	s.Clients.Shape = []string{"steady", "bursty", "heavy"}[rnd.IntN(3)]
+	s.Clients.Leave = []float64{0, 0.02, 0.2}[rnd.IntN(3)]
+	s.Clients.TryShare = 0.2 + 0.6*rnd.Float64()
+	if seed%8 == 0 {
+		s.Faults = append(s.Faults, hard[int(seed/8)%len(hard)]...)
+	}
+	for range 2 + rnd.IntN(6) {
+		s.Faults = append(s.Faults, drawFault(rnd, s.Halls))
+	}
+	x := &Script{Seed: seed, Scenario: s, Net: memnet.Config{
+		Delay: time.Duration(20+rnd.IntN(200)) * time.Microsecond, Jitter: time.Duration(rnd.IntN(400)) * time.Microsecond,
+		Spike: []float64{0, 0, 0.01}[rnd.IntN(3)], SpikeTime: time.Duration(1+rnd.IntN(15)) * time.Millisecond,
+		Split: []float64{0, 0.1, 0.5}[rnd.IntN(3)], Buffer: []int{4 << 10, 64 << 10}[rnd.IntN(2)], Chance: seed,
+	}}
+	if rnd.IntN(3) == 0 {
+		for range 1 + rnd.IntN(3) { // within what the judge allows for: nobody can answer while nothing works
+			x.Stalls = append(x.Stalls, Jump{moment(rnd), time.Duration(1+rnd.IntN(30)) * time.Millisecond})
+		}
+	}
+	if rnd.IntN(4) == 0 {
+		x.Jumps = append(x.Jumps, Jump{moment(rnd), time.Duration(1+rnd.IntN(3600)) * time.Second})
+	}
+	return x
+}
+
+func moment(rnd *rand.Rand) time.Duration {
+	return time.Duration(200+rnd.IntN(int(drawnLength/time.Millisecond)-700)) * time.Millisecond
+}
+
+func drawFault(rnd *rand.Rand, halls []string) scenario.Fault {
+	kinds := []string{"hang", "silence", "cut", "reset", "hall_loss", "shrink", "registry_lag", "registry_down", "slow", "spoil",
+		"overlong", "probe_lie", "rude", "replace", "kill", "term", "reload"}
+	f := scenario.Fault{Kind: kinds[rnd.IntN(len(kinds))], At: moment(rnd)}
+	if rnd.IntN(2) == 0 {
+		f.Hall = halls[rnd.IntN(len(halls))]
+	}
+	if !f.Moment() {
+		f.Length = time.Duration(300+rnd.IntN(5000)) * time.Millisecond
+	}
+	switch f.Kind {
+	case "hall_loss":
+		f.Hall = halls[rnd.IntN(len(halls))]
+		f.Silent, f.With = rnd.IntN(2) == 0, rnd.IntN(3) == 0
+	case "shrink":
+		f.Size, f.Extra = 0.4+0.5*rnd.Float64(), time.Duration(200+rnd.IntN(2500))*time.Millisecond
+	case "registry_lag":
+		f.Hall, f.Extra = "", time.Duration(200+rnd.IntN(4000))*time.Millisecond
+	case "registry_down":
+		f.Hall = ""
+	case "slow":
+		f.Size, f.Part = 0.1+0.6*rnd.Float64(), rnd.Float64()
+	case "cut", "reset", "spoil", "overlong":
+		f.Size, f.Part = 0.02+0.4*rnd.Float64(), rnd.Float64()
+	case "rude":
+		f.Hall, f.Count = "", 1+rnd.IntN(40)
+	case "replace":
+		f.Count, f.Extra = 1+rnd.IntN(2), time.Duration(1+rnd.IntN(1500))*time.Millisecond
+	case "kill", "term":
+		f.Count, f.Extra = 1+rnd.IntN(drawnSidecars), time.Duration(1+rnd.IntN(800))*time.Millisecond
+	case "reload":
+		f.Part = 1
+	default:
+		f.Part = 0.3 * rnd.Float64()
+	}
+	return f
+}
+
+const sec = time.Second
+
+// hard are the cases that the operators and the issues name.
+var hard = [][]scenario.Fault{
+	{ // a stalled fifth of the fleet during a hall loss with a lagging list
+		{Kind: "registry_lag", At: 1 * sec, Length: 7 * sec, Extra: 3 * sec},
+		{Kind: "hall_loss", At: 2 * sec, Length: 4 * sec, Hall: "hall-b"},
+		{Kind: "hang", At: 3 * sec, Length: 4 * sec, Part: 0.2},
+	},
+	{ // a reload to a new registry in the middle of a drain
+		{Kind: "shrink", At: 2 * sec, Length: 5 * sec, Size: 0.6, Extra: 2 * sec},
+		{Kind: "reload", At: 2400 * time.Millisecond, Part: 1},
+		{Kind: "reload", At: 2700 * time.Millisecond, Part: 1},
+	},
+	{ // SIGTERM during a zone's return from cold
+		{Kind: "hall_loss", At: 1 * sec, Length: 2 * sec, Hall: "hall-a"},
+		{Kind: "term", At: 3600 * time.Millisecond, Part: 1},
+		{Kind: "term", At: 7 * sec, Count: 1},
+	},
+	{ // a paid-extra retry whose hall dies between the two attempts
+		{Kind: "cut", At: 1 * sec, Length: 8 * sec, Size: 0.4, Part: 1},
+		{Kind: "hall_loss", At: 3 * sec, Length: 1500 * time.Millisecond, Hall: "hall-a"},
+		{Kind: "hall_loss", At: 5 * sec, Length: 1500 * time.Millisecond, Hall: "hall-b", Silent: true},
+		{Kind: "hall_loss", At: 7 * sec, Length: 1500 * time.Millisecond, Hall: "hall-c"},
+	},
+	{ // a worker replaced at its old address while an answer of the old one is under way
+		{Kind: "slow", At: 1 * sec, Length: 8 * sec, Size: 0.4, Part: 0.5},
+		{Kind: "replace", At: 2 * sec, Count: 3, Extra: time.Millisecond},
+		{Kind: "replace", At: 4 * sec, Count: 3, Extra: time.Millisecond},
+		{Kind: "replace", At: 6 * sec, Count: 2, Extra: 20 * time.Millisecond},
+	},
+	{ // a cold hall under overload
+		{Kind: "hall_loss", At: 1 * sec, Length: 1 * sec, Hall: "hall-a"},
+		{Kind: "hall_loss", At: 1200 * time.Millisecond, Length: 1 * sec, Hall: "hall-b"},
+		{Kind: "slow", At: 2 * sec, Length: 6 * sec, Size: 0.5, Part: 1},
+	},
+	{ // news that is late, of a registry that goes down, with drains between
+		{Kind: "registry_down", At: 1 * sec, Length: 2 * sec},
+		{Kind: "shrink", At: 1500 * time.Millisecond, Length: 6 * sec, Size: 0.5, Extra: 1500 * time.Millisecond},
+		{Kind: "registry_lag", At: 2 * sec, Length: 5 * sec, Extra: 2 * sec},
+		{Kind: "reload", At: 3100 * time.Millisecond, Part: 1},
+	},
+}
