--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -126,6 +126,7 @@
 	DrainSlack   time.Duration `toml:"drain_slack" default:"50ms" range:"0s..10s" doc:"allowance of sockets on top of the grace"`
 	FallMultiple float64       `toml:"fall_multiple" default:"2.5" range:"1.." doc:"a cold worker sent more than this times its capacity falls over"`
 	FallTime     time.Duration `toml:"fall_time" default:"1s" range:"10ms..1m" doc:"measured over this long"`
+	FallChance   time.Duration `toml:"fall_chance" default:"400ms" range:"0s..1m" doc:"work let pass on top: calls are whole and their work is chance"`
 	MaxAttempts  int           `toml:"max_attempts" default:"3" range:"1..100" doc:"delegations of one call"`
 	MaxRetry     time.Duration `toml:"max_retry_after" default:"1500ms" range:"0s..1m" doc:"the longest Retry-After that clients heed"`
 }
--- a/internal/sim/runner/runner_test.go
+++ b/internal/sim/runner/runner_test.go
@@ -99,6 +99,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if c, err := second.Play(context.Background(), sim.Request{Seed: seed}); err != nil || c.Hash != a.Hash {
+			t.Errorf("seed %d: asked for no trace it is another day: %v", seed, err)
+		}
 		if a.Hash != b.Hash || len(a.Trace) != len(b.Trace) {
 			for i := range min(len(a.Trace), len(b.Trace)) {
 				if a.Trace[i] != b.Trace[i] {
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -50,6 +50,8 @@
 capacity = 30
 [limits]
 sockets = 256
+[rules]
+fall_chance = "1s"
 [[kind]]
 name = "new"
 speed = 1.2
