--- a/internal/lab/stage/registry.go
+++ b/internal/lab/stage/registry.go
@@ -124,7 +124,7 @@
 		i := instanceJSON{ID: "s-" + spec.Name, Addr: r.net.worker(sidecar, r.slots[e.Worker]), Zone: r.plan.Halls[spec.Hall],
 			Kind: r.plan.Kinds[spec.Kind].Name, Lifecycle: e.State.String(), Weight: float64(r.plan.Kinds[spec.Kind].Cores)}
 		if e.Started >= 0 {
-			i.StartedMs = r.wall(e.Started).UnixMilli()
+			i.StartedMs = r.hosts[e.Worker].stamp.Load()
 		}
 		out.Instances = append(out.Instances, i)
 	}
--- a/internal/lab/stage/worker.go
+++ b/internal/lab/stage/worker.go
@@ -29,6 +29,7 @@
 	model     *world.Worker
 	up        bool // the process runs
 	begun     time.Duration
+	stamp     atomic.Int64  // the same by the wall clock of then, Unix time in milliseconds
 	silent    int           // silences that go on
 	gate      chan struct{} // closed while nothing is silent
 	listeners []Listener
@@ -82,6 +83,7 @@
 	h.begun = -1
 	if cold {
 		h.begun = now
+		h.stamp.Store(time.Now().UnixMilli())
 	}
 	if h.model == nil {
 		h.model = world.NewWorker(h.plan.Fleet[h.n], h.plan.Kinds[h.plan.Fleet[h.n].Kind], h.plan.Rules, h.begun, now)
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -46,7 +46,7 @@
 	sides := &starter{net: net, log: func(n int) io.Writer { return &logWriter{rec, n} }, module: rec.module, now: map[int]*sidecar{}}
 	var own []judge.Violation // what the laboratory's judge cannot see from outside
 	breach := func(n int, text string) {
-		v := judge.Violation{At: rec.now, Rule: Inside, Sidecar: n, Text: text}
+		v := judge.Violation{At: rec.clock(), Rule: Inside, Sidecar: n, Text: text}
 		rec.line(true, "BROKEN %v", v)
 		own = append(own, v)
 	}
@@ -116,7 +116,8 @@
 	}
 
 	mu    sync.Mutex
-	now   time.Duration // of the last event; the recorder looks at no clock, so that a trace does not change the course
+	now   time.Duration // of the last event, and when that was
+	at    time.Time
 	lines int
 	kept  []string
 	owed  map[int]*owed
@@ -156,14 +157,22 @@
 		r.owedBy(e.Sidecar).ended++
 	}
 	o := r.owedBy(e.Sidecar)
-	return e.Sidecar, o.ended < len(o.chosen) && r.now-o.chosen[o.ended] > promptly
+	return e.Sidecar, o.ended < len(o.chosen) && r.clock()-o.chosen[o.ended] > promptly
+}
+
+// clock is the day's time by the events' own and what has passed since the last.
+func (r *recorder) clock() time.Duration {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.now + time.Since(r.at)
 }
 
 // line writes a line. Those that count are in the hash, whether the trace is kept or not.
 func (r *recorder) line(counts bool, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	text := fmt.Sprintf("%10.6f ", r.now.Seconds()) + fmt.Sprintf(format, args...)
+	text := fmt.Sprintf("%10.6f ", r.clock().Seconds()) + fmt.Sprintf(format, args...)
 	if counts {
 		r.lines++
 		io.WriteString(r.hash, text)
@@ -176,7 +185,7 @@
 
 func (r *recorder) event(e judge.Event, broken []judge.Violation) {
 	r.mu.Lock()
-	r.now = e.At
+	r.now, r.at = e.At, time.Now()
 	r.mu.Unlock()
 	if e.Kind == judge.Used {
 		return
@@ -211,7 +220,7 @@
 	for _, a := range actions {
 		if a.Kind == decide.Refuse || a.Kind == decide.Fail {
 			o := r.owedBy(n)
-			o.chosen = append(o.chosen, r.now)
+			o.chosen = append(o.chosen, r.clock())
 		}
 	}
 	r.mu.Unlock()
