--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -362,7 +362,7 @@
 		j.tally.died++
 		return
 	}
-	j.broke(Answer, c.sidecar, "%s %x lost: the connection ended without a whole answer", j.className(c), c.id)
+	j.broke(Answer, c.sidecar, "%s %x lost: the connection ended without a whole answer (%s)", j.className(c), c.id, e.Text)
 }
 
 func (j *Judge) gaveUp(e *Event) {
--- a/internal/lab/stage/client.go
+++ b/internal/lab/stage/client.go
@@ -149,7 +149,7 @@
 	if end == world.Broken && !answered && reused { // it crossed the sidecar's close: once more, over a new connection
 		conn, err := a.sockets.Dial(a.net.sidecar(a.sidecar), time.Second)
 		if err != nil {
-			a.observe(judge.Event{Kind: judge.Ended, Call: t.id, Sidecar: a.sidecar})
+			a.observe(judge.Event{Kind: judge.Ended, Call: t.id, Sidecar: a.sidecar, Text: "a kept connection ended, and a new one did not come up"})
 			return world.Broken, 0
 		}
 		asked.At = a.now()
@@ -194,7 +194,7 @@
 	if !answered {
 		c.Close()
 		if !reused {
-			a.observe(judge.Event{Kind: judge.Ended, Call: t.id, Sidecar: a.sidecar})
+			a.observe(judge.Event{Kind: judge.Ended, Call: t.id, Sidecar: a.sidecar, Text: "before its first byte"})
 		}
 		return world.Broken, 0, false
 	}
@@ -208,7 +208,7 @@
 	}
 	if err != nil {
 		c.Close()
-		a.observe(judge.Event{Kind: judge.Ended, Call: t.id, Sidecar: a.sidecar})
+		a.observe(judge.Event{Kind: judge.Ended, Call: t.id, Sidecar: a.sidecar, Text: err.Error()})
 		return world.Broken, 0, true
 	}
 	took := a.now() - begun
@@ -217,7 +217,7 @@
 		e.RetryAfter = time.Duration(s * 1e9)
 	}
 	if !reused && answer.StatusCode == http.StatusConflict {
-		e.Kind = judge.Ended // sent once more, it turns out to have been taken the first time: lost
+		e.Kind, e.Text = judge.Ended, "409" // sent once more, it turns out to have been taken the first time: lost
 	}
 	a.observe(e)
 	c.last = t.id
--- a/internal/lab/stage/sidecar.go
+++ b/internal/lab/stage/sidecar.go
@@ -20,6 +20,7 @@
 	n      int
 	second bool       // its registry is at the second address now
 	life   sync.Mutex // held while it is ended, begun or reloaded
+	downs  int        // losses of its hall that go on; guarded by life
 
 	mu     sync.Mutex
 	now    Sidecar
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -198,7 +198,7 @@
 	case judge.Answered:
 		fmt.Fprintf(&b, "call %x by n%d: %d, retry after %v", e.Call, e.Sidecar, e.Status, e.RetryAfter)
 	case judge.Ended, judge.Quit, judge.GaveUp:
-		fmt.Fprintf(&b, "call %x at n%d", e.Call, e.Sidecar)
+		fmt.Fprintf(&b, "call %x at n%d %s", e.Call, e.Sidecar, e.Text)
 	case judge.Arrived:
 		fmt.Fprintf(&b, "call %x of n%d at w%03d as delegation %d %s", e.Call, e.Sidecar, e.Worker, e.Serial, e.Text)
 	case judge.Ran, judge.Unrun, judge.Closed:
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -92,6 +92,7 @@
 		panic(err)
 	}
 	s.Name = fmt.Sprintf("seed-%d", seed)
+	s.Classes[2].Share = 0.1 + 0.6*rnd.Float64() // the keyed class has the most rules
 	s.Clients.Load = 0.2 + 0.7*rnd.Float64()
 	s.Clients.Shape = []string{"steady", "bursty", "heavy"}[rnd.IntN(3)]
 	s.Clients.Leave = []float64{0, 0.02, 0.2}[rnd.IntN(3)]
