Laboratory: a line cut short by a client's leaving is no lost call

The event's code said an error that is neither a reset nor an end: the client left between two segments of the status line, and net/textproto returns what there is of a line without the deadline's error, which then does not parse.

Change: once the client has left, any error is its leaving.

--- a/internal/lab/stage/client.go
+++ b/internal/lab/stage/client.go
@@ -179,8 +179,9 @@
 // that is what tells a call that crossed a close from one that was lost, and only the latter is noted here.
 func (a *application) exchange(client *world.Client, t *try, c *clientConn, text string, patience time.Duration, reused bool) (end world.End, after time.Duration, answered bool) {
 	begun := a.now()
+	var gone atomic.Bool // the client has left
 	if share, leaves := client.Leaves(); leaves {
-		timer := time.AfterFunc(time.Duration(share*float64(patience)), func() { c.SetReadDeadline(time.Now()) })
+		timer := time.AfterFunc(time.Duration(share*float64(patience)), func() { gone.Store(true); c.SetReadDeadline(time.Now()) })
 		defer timer.Stop()
 	}
 	c.SetWriteDeadline(time.Now().Add(patience))
@@ -203,7 +204,7 @@
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(answer.Body, maxRequest))
 	}
-	if isTimeout(err) {
+	if isTimeout(err) || err != nil && gone.Load() { // a line cut short by a deadline is read as a bad line
 		return a.leave(t, c, a.now()-begun < patience), 0, true
 	}
 	if err != nil {
