Judge: calls lost by a planned end are lost, also where its exit is seen first

The judge excused every call of a sidecar that was down by then, killed or not; PROTOCOL counts what a planned end has taken and not answered as lost.

Change: the judge keeps how each life of a sidecar ended; only an outright kill excuses, and a call asked later than 0.7 s after the signal.

--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -122,10 +122,26 @@
 	life   int
 	up     bool
 	termed time.Duration // negative where it was not
+	killed bool
+	before []ending // how the lives before this one ended, by life
 	told   map[int]told
 	used   []Sample
 }
 
+// ending is how a life of a sidecar ended.
+type ending struct {
+	termed time.Duration
+	killed bool
+}
+
+// ending returns how a life has ended, or what has been done to it so far.
+func (s *sidecar) ending(life int) ending {
+	if life < len(s.before) {
+		return s.before[life]
+	}
+	return ending{s.termed, s.killed}
+}
+
 // told is what a sidecar knows of a worker.
 type told struct {
 	state   uint8
@@ -252,6 +268,7 @@
 		j.fell(&e)
 	case Killed:
 		j.sidecars[e.Sidecar].up = false
+		j.sidecars[e.Sidecar].killed = true
 	case Termed:
 		j.sidecars[e.Sidecar].termed = e.At
 	case Exited:
@@ -264,7 +281,8 @@
 		}
 	case Began:
 		s := j.sidecars[e.Sidecar]
-		*s = sidecar{life: s.life + 1, up: true, termed: -1, told: map[int]told{}, used: s.used}
+		*s = sidecar{life: s.life + 1, up: true, termed: -1, told: map[int]told{}, used: s.used,
+			before: append(s.before, ending{s.termed, s.killed})}
 	case Used:
 		s := j.sidecars[e.Sidecar]
 		s.used = append(s.used, Sample{e.At, e.Sidecar, e.Memory, e.Sockets})
@@ -354,11 +372,14 @@
 	}
 	c.over = true
 	s := j.sidecars[c.sidecar]
-	switch {
-	case !s.up || s.life != c.life: // it was killed holding the call: not counted against it
+	switch how := s.ending(c.life); {
+	case how.killed: // holding the call: not counted against it
+		j.tally.died++
+		return
+	case how.termed >= 0 && c.asked-how.termed > 700*time.Millisecond-slack: // the close may have crossed it
 		j.tally.died++
 		return
-	case s.termed >= 0 && c.asked-s.termed > 700*time.Millisecond-slack: // the close may have crossed it
+	case how.termed < 0 && (!s.up || s.life != c.life): // it ended by itself, which is a crash already
 		j.tally.died++
 		return
 	}
