--- a/internal/lab/report/html.go
+++ b/internal/lab/report/html.go
@@ -5,6 +5,8 @@
 	"html/template"
 	"io"
 	"math"
+
+	"burlpass/internal/lab/judge"
 )
 
 // page is what the template is given.
@@ -125,13 +127,10 @@
 				{name + " failed", palette[c], true, series(d, func(i int) float64 { return float64(d.Result.Report.Seconds[i].Failed) })}}
 		}},
 		{"Resident memory of the largest sidecar", "MiB", 0, func(name string, c int, d *Day) []line {
-			y := make([]float64, len(d.Result.Report.Seconds))
-			for _, s := range d.Result.Report.Samples {
-				if i := int(s.At.Seconds()); s.At >= 0 && i < len(y) {
-					y[i] = math.Max(y[i], float64(s.Memory)/(1<<20))
-				}
-			}
-			return []line{{name, palette[c], false, y}}
+			return []line{{name, palette[c], false, most(d, func(s judge.Sample) float64 { return float64(s.Memory) / (1 << 20) })}}
+		}},
+		{"Descriptors of the sidecar with the most", "number", 0, func(name string, c int, d *Day) []line {
+			return []line{{name, palette[c], false, most(d, func(s judge.Sample) float64 { return float64(s.Sockets) })}}
 		}},
 	} {
 		var lines []line
@@ -147,6 +146,17 @@
 	return out, nil
 }
 
+// most is the largest of the sidecars' samples in each second.
+func most(d *Day, of func(judge.Sample) float64) []float64 {
+	y := make([]float64, len(d.Result.Report.Seconds))
+	for _, s := range d.Result.Report.Samples {
+		if i := int(s.At.Seconds()); s.At >= 0 && i < len(y) {
+			y[i] = math.Max(y[i], of(s))
+		}
+	}
+	return y
+}
+
 func series(d *Day, of func(i int) float64) []float64 {
 	out := make([]float64, len(d.Result.Report.Seconds))
 	for i := range out {
