--- a/internal/cli/sim.go
+++ b/internal/cli/sim.go
@@ -190,27 +190,36 @@
 	return sim.ReadScript(arg)
 }
 
+// simDay readies one day, named by its seed or file, to be played until Ctrl-C; done frees what that took.
+func (a *app) simDay(arg, wasm, overlay string) (script *sim.Script, play func(sim.Request) (*sim.Outcome, error), done func(), err error) {
+	if script, err = scriptOf(arg); err != nil {
+		return nil, nil, nil, err
+	}
+	ctx, cancel := interruptible()
+	r, err := a.simulator(ctx, wasm, overlay)
+	if err != nil {
+		cancel()
+		return nil, nil, nil, err
+	}
+	play = func(q sim.Request) (*sim.Outcome, error) { return r.Play(ctx, q) }
+	return script, play, func() { r.Close(context.Background()); cancel() }, nil
+}
+
 func (a *app) simReplay() *cobra.Command {
 	var wasm, overlay string
 	c := &cobra.Command{
 		Use:   "replay SEED|FILE",
 		Short: "Play one day again and print its whole course",
 		Example: `  burlpass sim replay 4711 | less
-  burlpass sim replay internal/sim/corpus/late-list.json`,
+  burlpass sim replay internal/sim/corpus/overlap.json`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			script, err := scriptOf(args[0])
+			script, play, done, err := a.simDay(args[0], wasm, overlay)
 			if err != nil {
 				return wrong(err)
 			}
-			ctx, cancel := interruptible()
-			defer cancel()
-			r, err := a.simulator(ctx, wasm, overlay)
-			if err != nil {
-				return wrong(err)
-			}
-			defer r.Close(context.Background())
-			o, err := r.Play(ctx, sim.Request{Script: script, Trace: true})
+			defer done()
+			o, err := play(sim.Request{Script: script, Trace: true})
 			if err != nil {
 				return wrong(err)
 			}
@@ -239,18 +248,12 @@
 		Example: "  burlpass sim shrink 4711 --out internal/sim/corpus/found.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			script, err := scriptOf(args[0])
+			script, play, done, err := a.simDay(args[0], wasm, overlay)
 			if err != nil {
 				return wrong(err)
 			}
-			ctx, cancel := interruptible()
-			defer cancel()
-			r, err := a.simulator(ctx, wasm, overlay)
-			if err != nil {
-				return wrong(err)
-			}
-			defer r.Close(context.Background())
-			small, o, err := sim.Shrink(script, func(s *sim.Script) (*sim.Outcome, error) { return r.Play(ctx, sim.Request{Script: s}) })
+			defer done()
+			small, o, err := sim.Shrink(script, func(s *sim.Script) (*sim.Outcome, error) { return play(sim.Request{Script: s}) })
 			if err != nil {
 				return wrong(err)
 			}
