--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -137,9 +137,6 @@
 	f.faults = append(f.faults, Fault{f.Name, at.Line, at.Column, key, fmt.Sprintf(format, args...)})
 }
 
-// Has tells whether a key stands in the file.
-func (f *File) Has(key string) bool { _, ok := f.places[key]; return ok }
-
 // index notes where each key stands.
 func (f *File) index(text []byte) {
 	p := &unstable.Parser{}
--- a/internal/lab/stage/sockets.go
+++ b/internal/lab/stage/sockets.go
@@ -46,12 +46,3 @@
 	Used() (memory int64, sockets int, ok bool)
 	Log() string // the end of its log
 }
-
-// reset ends a connection so that the other side sees a reset.
-func reset(c net.Conn) {
-	if r, ok := c.(Conn); ok {
-		r.Reset()
-		return
-	}
-	c.Close()
-}
--- a/internal/lab/world/worker.go
+++ b/internal/lab/world/worker.go
@@ -125,9 +125,6 @@
 // Stalled tells whether a hang goes on.
 func (w *Worker) Stalled() bool { return w.stalled > 0 }
 
-// Serving tells whether it could do work now: it runs, is not stalled and has room.
-func (w *Worker) Serving() bool { return w.Up() && w.stalled == 0 && len(w.jobs) < w.room() }
-
 // Stall begins (on) or ends one hang; hangs may overlap, and it works again when the last has ended.
 func (w *Worker) Stall(now time.Duration, on bool) []Finished {
 	done := w.Advance(now)
