--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -33,6 +33,8 @@
 	Listen   string
 	Registry string
 	Seed     uint64
+	Inherit  bool // the platform holds the clients' listening socket and hands it over as AcceptFD; else Listen is bound
+	AcceptFD int
 	Limits   Limits
 	Known    *protocol.List
 	Decide   decide.Config
@@ -54,6 +56,13 @@
 // Load reads the environment and the file that it names. Each error names what is at fault.
 func Load(getenv func(string) string) (*Config, error) {
 	c := &Config{}
+	if fd := getenv("EDGE_ACCEPT_FD"); fd != "" {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("EDGE_ACCEPT_FD: %q is not a descriptor: a number of 0 or more is expected", fd)
+		}
+		c.Inherit, c.AcceptFD = true, n
+	}
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -113,7 +122,7 @@
 // Reload reads the file again, whole, and returns the configuration that it gives now. The registry is the
 // file's; what belongs to the process stays.
 func (c *Config) Reload() (*Config, error) {
-	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen, source: c.source}
+	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen, Inherit: c.Inherit, AcceptFD: c.AcceptFD, source: c.source}
 	own, err := next.read()
 	if err != nil {
 		return nil, err
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -17,8 +17,11 @@
 // A sidecar that cannot start says in one line what is at fault.
 func TestLoadNamesTheFault(t *testing.T) {
 	for name, test := range map[string]struct {
-		unset, listen, from, to, want string
+		unset, listen, fd, from, to, want string
 	}{
+		"inherited":         {fd: "4"},
+		"not a descriptor":  {fd: "four", want: "EDGE_ACCEPT_FD"},
+		"below zero":        {fd: "-1", want: "EDGE_ACCEPT_FD"},
 		"whole":             {},
 		"variable":          {unset: "EDGE_LISTEN", want: "EDGE_LISTEN: missing"},
 		"address":           {listen: "127.0.0.1:web", want: "EDGE_LISTEN"},
@@ -37,7 +40,7 @@
 			t.Fatal(err)
 		}
 		env := map[string]string{"EDGE_NAME": "n0", "EDGE_LISTEN": stdcmp.Or(test.listen, "127.0.0.1:0"), "EDGE_DISCOVERY": "127.0.0.1:1",
-			"EDGE_CONFIG": path}
+			"EDGE_CONFIG": path, "EDGE_ACCEPT_FD": test.fd}
 		delete(env, test.unset)
 		_, err := Load(func(k string) string { return env[k] })
 		got := ""
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -44,18 +45,40 @@
 // New listens on the network, and readies the connections' bounds, for what c says.
 func New(network transport.Network, c *Config, logger *slog.Logger) (*Sidecar, error) {
 	clients, spare, workers := transport.Split(c.Limits.Sockets)
-	listener, err := transport.Listen(network, c.Listen, clients, spare)
+	listener, err := listen(network, c, clients, spare)
 	if err != nil {
-		return nil, fmt.Errorf("EDGE_LISTEN: %w", err)
+		return nil, err
 	}
 	logger.Info("start", "name", c.Name, "listen", listener.Addr().String(), "registry", c.Registry,
-		"workers", len(c.Known.Instances), "client_sockets", clients, "worker_sockets", workers,
+		"inherited", c.Inherit, "workers", len(c.Known.Instances), "client_sockets", clients, "worker_sockets", workers,
 		"cores", c.Limits.Cores, "memory_mb", c.Limits.MemoryMB)
 	return &Sidecar{config: c, network: network, log: logger, listener: listener,
 		pool: transport.NewPool(network, transport.NewBudget(workers), c.Decide.ConnectTime,
 			time.Duration(idleShare*float64(c.Decide.IdleClose)))}, nil
 }
 
+// listen binds the clients' address, or takes the socket that the platform holds where it names one.
+func listen(network transport.Network, c *Config, clients, spare int) (*transport.Listener, error) {
+	if !c.Inherit {
+		l, err := transport.Listen(network, c.Listen, clients, spare)
+		if err != nil {
+			return nil, fmt.Errorf("EDGE_LISTEN: %w", err)
+		}
+		return l, nil
+	}
+	heir, ok := network.(interface {
+		Inherit(fd int) (net.Listener, error)
+	})
+	if !ok {
+		return nil, errors.New("EDGE_ACCEPT_FD: this network cannot take a descriptor over")
+	}
+	ln, err := heir.Inherit(c.AcceptFD)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_ACCEPT_FD: %w", err)
+	}
+	return transport.Serve(ln, clients, spare), nil
+}
+
 // Addr is where clients connect.
 func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
 
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -104,8 +104,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{ln: ln, limit: limit, graces: graces,
-		slots: make(chan struct{}, limit+spare)}, nil
+	return Serve(ln, limit, spare), nil
+}
+
+// Serve is Listen on a socket that listens already, such as one that the platform handed over.
+func Serve(ln net.Listener, limit, spare int) *Listener {
+	return &Listener{ln: ln, limit: limit, graces: graces, slots: make(chan struct{}, limit+spare)}
 }
 
 // Addr is where it listens.
