The operators' door: READY, STATS, DISABLE, ENABLE, DRAIN, UNDRAIN; maintenance kept

Nothing took the operators' calls.

The router re-tells the module at once and closes idle connections. - Drain: the acceptor steers away while held (503 health, Connection: close), resting client connections are closed at once. - Figures: answers per class in the acceptor, attempts written whole in the delegation (atomics).

--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,66 @@
+// Package operator is the operators' door: a listener of its own where each connection carries one line, a command,
+// and gets one line back that begins with ACK or NAK. Parse is the pure part; Door does the I/O.
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Verb is what a command asks for.
+type Verb uint8
+
+// The verbs of the door.
+const (
+	Ready   Verb = iota + 1 // whether this process can serve
+	Stats                   // the figures, then a line "--"
+	Disable                 // leave worker ID out
+	Enable                  // use worker ID again
+	Drain                   // steer the clients away from this sidecar
+	Undrain                 // back to work
+)
+
+// verbs names each verb and whether it takes a worker's id.
+var verbs = map[string]struct {
+	verb  Verb
+	takes bool
+}{
+	"READY": {Ready, false}, "STATS": {Stats, false}, "DISABLE": {Disable, true}, "ENABLE": {Enable, true},
+	"DRAIN": {Drain, false}, "UNDRAIN": {Undrain, false},
+}
+
+// MaxLine is the longest line that the door reads, in bytes, its end of line included.
+const MaxLine = 256
+
+// Command is one parsed line.
+type Command struct {
+	Verb Verb
+	ID   string // of a worker, for Disable and Enable
+}
+
+// ErrEmpty is the error of a line with no command on it.
+var ErrEmpty = errors.New("no command")
+
+// Parse reads one line, without its end of line. Words are split by spaces or tabs; the verb is upper case. The
+// error is the reason given with NAK.
+func Parse(line string) (Command, error) {
+	words := strings.Fields(line)
+	if len(words) == 0 {
+		return Command{}, ErrEmpty
+	}
+	v, ok := verbs[words[0]]
+	switch {
+	case !ok:
+		return Command{}, fmt.Errorf("unknown command %.32q", words[0])
+	case v.takes && len(words) < 2:
+		return Command{}, fmt.Errorf("%s: the id of a worker is missing", words[0])
+	case v.takes && len(words) > 2, !v.takes && len(words) > 1:
+		return Command{}, fmt.Errorf("%s: too many words", words[0])
+	}
+	c := Command{Verb: v.verb}
+	if v.takes {
+		c.ID = words[1]
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/operator/door.go
@@ -0,0 +1,163 @@
+package operator
+
+import (
+	"bufio"
+	"container/list"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+)
+
+// Handler carries out the door's commands. Each method returns at once: none may wait for calls or workers.
+type Handler interface {
+	Ready() bool
+	Stats() []byte           // the figures as one line of JSON, without its end
+	Disable(id string) error // the error is the reason given with NAK; the state is then unchanged
+	Enable(id string) error  // the same
+	Drain()                  // steer clients away; again is harmless
+	Undrain()                // back to work; again is harmless
+}
+
+const (
+	// LineTime is how long a connection has for its line, counted from its acceptance; then it is closed.
+	LineTime = time.Second
+	// writeTime bounds the answer: an operator who reads nothing back holds nothing for longer.
+	writeTime = time.Second
+	// MaxConns is the most connections that the door holds at once.
+	MaxConns = 32
+	// acceptPause is the rest after a failed accept, such as one for want of descriptors.
+	acceptPause = 5 * time.Millisecond
+)
+
+// Door serves operators' connections: one line each, one answer, then the connection ends.
+type Door struct {
+	Handler Handler
+	Log     *slog.Logger
+
+	mu      sync.Mutex
+	waiting list.List // of net.Conn that have not sent their line yet, the oldest first
+	open    int
+	serving sync.WaitGroup
+}
+
+// Serve accepts until ln is closed and returns when every connection has ended.
+func (d *Door) Serve(ln net.Listener) {
+	defer d.serving.Wait()
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		place := d.admit(conn)
+		d.serving.Go(func() { d.serve(conn, place) })
+	}
+}
+
+// admit counts a connection in; at the limit the oldest that has not sent its line is closed to make room.
+func (d *Door) admit(conn net.Conn) *list.Element {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open >= MaxConns {
+		if oldest := d.waiting.Front(); oldest != nil {
+			d.waiting.Remove(oldest)
+			conn := oldest.Value.(net.Conn)
+			oldest.Value = nil
+			conn.Close()
+		}
+	}
+	d.open++
+	return d.waiting.PushBack(conn)
+}
+
+// heard takes a connection off the waiting list. It is false where the connection was closed to make room.
+func (d *Door) heard(place *list.Element) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if place.Value == nil {
+		return false
+	}
+	d.waiting.Remove(place)
+	place.Value = nil
+	return true
+}
+
+func (d *Door) serve(conn net.Conn, place *list.Element) {
+	defer func() {
+		conn.Close()
+		d.mu.Lock()
+		if place.Value != nil {
+			d.waiting.Remove(place)
+			place.Value = nil
+		}
+		d.open--
+		d.mu.Unlock()
+	}()
+	conn.SetReadDeadline(time.Now().Add(LineTime))
+	r := bufio.NewReaderSize(conn, MaxLine)
+	line, err := r.ReadSlice('\n')
+	if !d.heard(place) {
+		return
+	}
+	var answer []byte
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		answer = []byte("NAK line longer than 256 bytes\n")
+	case err != nil:
+		return // silent, half a line, or gone: nobody to answer
+	default:
+		answer = d.answer(trimEnd(line))
+	}
+	conn.SetWriteDeadline(time.Now().Add(writeTime))
+	conn.Write(answer)
+}
+
+func trimEnd(line []byte) string {
+	for len(line) > 0 && (line[len(line)-1] == '\n' || line[len(line)-1] == '\r') {
+		line = line[:len(line)-1]
+	}
+	return string(line)
+}
+
+// answer carries out one line's command and gives the whole answer.
+func (d *Door) answer(line string) []byte {
+	c, err := Parse(line)
+	if err != nil {
+		return nak(err)
+	}
+	h := d.Handler
+	switch c.Verb {
+	case Ready:
+		if h.Ready() {
+			return []byte("ACK ready\n")
+		}
+		return []byte("NAK not ready\n")
+	case Stats:
+		return append(append([]byte("ACK stats\n"), h.Stats()...), "\n--\n"...)
+	case Disable, Enable:
+		do, done := h.Disable, "disabled"
+		if c.Verb == Enable {
+			do, done = h.Enable, "enabled"
+		}
+		if err := do(c.ID); err != nil {
+			return nak(err)
+		}
+		d.Log.Info("operator", "command", done, "worker", c.ID)
+		return []byte("ACK " + done + " " + c.ID + "\n")
+	case Drain:
+		h.Drain()
+		d.Log.Info("operator", "command", "drain")
+		return []byte("ACK draining\n")
+	default:
+		h.Undrain()
+		d.Log.Info("operator", "command", "undrain")
+		return []byte("ACK serving\n")
+	}
+}
+
+func nak(err error) []byte { return []byte("NAK " + err.Error() + "\n") }
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -33,7 +33,9 @@
 	Listen   string
 	Registry string
 	Seed     uint64
-	Inherit  bool // the platform holds the clients' listening socket and hands it over as AcceptFD; else Listen is bound
+	Operator string // host and port of the operators' door; none where empty
+	StateDir string // where what outlives the process is kept, as $TMPDIR is kept over an upgrade; none where empty
+	Inherit  bool   // the platform holds the clients' listening socket and hands it over as AcceptFD; else Listen is bound
 	AcceptFD int
 	Limits   Limits
 	Known    *protocol.List
@@ -76,9 +78,19 @@
 			return nil, fmt.Errorf("%s: %w", v[0], err)
 		}
 	}
-	if _, err := c.read(); err != nil {
+	own, err := c.read()
+	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
+	c.Operator, c.StateDir = own.operator, getenv("TMPDIR")
+	if v := getenv("EDGE_OPERATOR"); v != "" {
+		c.Operator = v
+	}
+	if c.Operator != "" {
+		if err := checkAddress(c.Operator); err != nil {
+			return nil, fmt.Errorf("EDGE_OPERATOR: %w", err)
+		}
+	}
 	return c, nil
 }
 
@@ -99,8 +111,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Name, c.Listen, c.Registry = own.name, own.listen, own.registry
-	for _, v := range [][2]string{{"listen", c.Listen}, {"registry", c.Registry}} {
+	c.Name, c.Listen, c.Registry, c.Operator = own.name, own.listen, own.registry, own.operator
+	for _, v := range [][2]string{{"listen", c.Listen}, {"registry", c.Registry}, {"operator", c.Operator}} {
+		if v[0] == "operator" && v[1] == "" {
+			continue
+		}
 		if err := checkAddress(v[1]); err != nil {
 			return nil, fmt.Errorf("%s: %s: %w", path, v[0], err)
 		}
@@ -122,7 +137,7 @@
 // Reload reads the file again, whole, and returns the configuration that it gives now. The registry is the
 // file's; what belongs to the process stays.
 func (c *Config) Reload() (*Config, error) {
-	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen, Inherit: c.Inherit, AcceptFD: c.AcceptFD, source: c.source}
+	next := &Config{Path: c.Path, Name: c.Name, Listen: c.Listen, Operator: c.Operator, StateDir: c.StateDir, Inherit: c.Inherit, AcceptFD: c.AcceptFD, source: c.source}
 	own, err := next.read()
 	if err != nil {
 		return nil, err
@@ -156,7 +171,7 @@
 }
 
 // own is what a file says of the sidecar's place; the environment overrides it.
-type own struct{ name, listen, registry string }
+type own struct{ name, listen, registry, operator string }
 
 // read takes in the file, TOML by its ending, else the platform's JSON.
 func (c *Config) read() (own, error) {
@@ -181,6 +196,7 @@
 		Listen    string          `json:"listen"`
 		Seed      string          `json:"seed"`
 		Discovery string          `json:"discovery"`
+		Operator  string          `json:"operator"`
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
@@ -222,7 +238,7 @@
 	c.check(f, places{zone: "settings.zone", class: "settings.classes", attempts: "settings.ceilings.max_attempts",
 		multiple: "settings.safety.fall_multiple", start: "settings.safety.start_capacity", window: "dedup_window_us",
 		memory: "limits.memory_mb"})
-	return own{file.Name, file.Listen, file.Discovery}, f.Err()
+	return own{file.Name, file.Listen, file.Discovery, file.Operator}, f.Err()
 }
 
 // places are the names under which a form of file has what check looks at.
@@ -278,6 +294,7 @@
 	Name     string   `toml:"name" default:"sidecar" doc:"the sidecar's name, the same after a restart"`
 	Listen   string   `toml:"listen" default:"127.0.0.1:3000" doc:"host and port where clients connect"`
 	Registry string   `toml:"registry" default:"127.0.0.1:8500" doc:"host and port of the registry"`
+	Operator string   `toml:"operator" doc:"host and port of the operators' door; none where empty"`
 	Seed     string   `toml:"seed" doc:"hexadecimal seed of random numbers; a fresh one at each start where empty"`
 	Zone     string   `toml:"zone" required:"true" doc:"the sidecar's own zone, one of zones"`
 	Zones    []string `toml:"zones" required:"true" doc:"names of all zones"`
@@ -431,7 +448,7 @@
 		c.check(f, places{zone: "zone", class: "class", attempts: "delegations.max_attempts", multiple: "rules.fall_multiple",
 			start: "rules.start_capacity", window: "window", memory: "limits.memory"})
 	}
-	return own{x.Name, x.Listen, x.Registry}, f.Err()
+	return own{x.Name, x.Listen, x.Registry, x.Operator}, f.Err()
 }
 
 // flatten writes nested JSON as the path=value lines that the module's settings parser reads.
--- /dev/null
+++ b/internal/program/operator.go
@@ -0,0 +1,107 @@
+package program
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"burlpass/internal/maintenance"
+	"burlpass/internal/protocol"
+	"burlpass/internal/routing"
+)
+
+// operations carries out the door's commands on a running sidecar.
+type operations struct {
+	s       *Sidecar
+	router  *routing.Router
+	ending  *atomic.Bool // SIGTERM has come: the process is not to be counted on any more
+	figures *protocol.Figures
+}
+
+func (o *operations) Ready() bool { return !o.ending.Load() && o.router.Healthy() }
+
+func (o *operations) Stats() []byte {
+	var r protocol.Report
+	o.figures.Read(o.s.config.Names.Classes, &r)
+	r.Inflight = o.router.Open()
+	r.HostsListed, r.HostsDown = o.router.Hosts()
+	return r.JSON()
+}
+
+func (o *operations) Disable(id string) error { return o.keep(o.router.Disable(id)) }
+func (o *operations) Enable(id string) error  { return o.keep(o.router.Enable(id)) }
+
+// keep writes what is taken out by hand where the next process will find it.
+func (o *operations) keep(err error) error {
+	if err != nil {
+		return err
+	}
+	path := o.s.maintenancePath()
+	if path == "" {
+		return nil
+	}
+	set := o.router.Maintenance()
+	if err := writeAtomically(path, set.Encode()); err != nil {
+		o.s.log.Error("maintenance_not_kept", "path", path, "err", err)
+	}
+	return nil
+}
+
+func (o *operations) Drain() {
+	o.s.held.Store(true)
+	o.s.listener.CloseResting()
+}
+
+func (o *operations) Undrain() { o.s.held.Store(false) }
+
+// maintenancePath is the file that holds the workers taken out by hand, or "" where nothing outlives the process.
+func (s *Sidecar) maintenancePath() string {
+	if s.config.StateDir == "" {
+		return ""
+	}
+	return filepath.Join(s.config.StateDir, "burlpass-"+s.config.Name+".maintenance")
+}
+
+// kept reads what an earlier process took out by hand. A missing file is an empty set; a file that is not one is
+// logged and counts for nothing.
+func (s *Sidecar) kept() maintenance.Set {
+	path := s.maintenancePath()
+	if path == "" {
+		return maintenance.Set{}
+	}
+	b, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return maintenance.Set{}
+	}
+	if err == nil {
+		var set maintenance.Set
+		if set, err = maintenance.Decode(b); err == nil {
+			return set
+		}
+	}
+	s.log.Error("maintenance_ignored", "path", path, "err", err)
+	return maintenance.Set{}
+}
+
+// writeAtomically replaces a file by another whole one: a reader sees the old or the new, never a part.
+func writeAtomically(path string, b []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		os.Remove(f.Name())
+	}
+	return err
+}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
 	"burlpass/internal/routing"
 	"burlpass/internal/transport"
@@ -40,6 +41,8 @@
 	listener *transport.Listener
 	pool     *transport.Pool
 	router   atomic.Pointer[routing.Router] // once Run has begun
+	held     atomic.Bool                    // drained by the operators
+	door     net.Listener                   // the operators' door; nil where there is none
 }
 
 // New listens on the network, and readies the connections' bounds, for what c says.
@@ -52,7 +55,14 @@
 	logger.Info("start", "name", c.Name, "listen", listener.Addr().String(), "registry", c.Registry,
 		"inherited", c.Inherit, "workers", len(c.Known.Instances), "client_sockets", clients, "worker_sockets", workers,
 		"cores", c.Limits.Cores, "memory_mb", c.Limits.MemoryMB)
-	return &Sidecar{config: c, network: network, log: logger, listener: listener,
+	var door net.Listener
+	if c.Operator != "" {
+		if door, err = network.Listen(c.Operator); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("EDGE_OPERATOR: %w", err)
+		}
+	}
+	return &Sidecar{config: c, network: network, log: logger, listener: listener, door: door,
 		pool: transport.NewPool(network, transport.NewBudget(workers), c.Decide.ConnectTime,
 			time.Duration(idleShare*float64(c.Decide.IdleClose)))}, nil
 }
@@ -100,26 +110,47 @@
 	closing, shut := context.WithCancel(context.Background())
 	defer shut()
 	c := s.config
+	figures := protocol.NewFigures(len(c.Names.Classes))
+	out := s.kept()
 	router := routing.New(working, routing.Config{
 		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Network: s.network, Registry: c.Registry, Log: s.log, Trace: c.Trace,
-		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns},
+		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns, Figures: figures}, Out: out,
 	}, c.Known)
 	s.router.Store(router)
+	if out.Len() > 0 {
+		s.log.Info("maintenance", "out", strings.Join(out.IDs(), ","))
+	}
 	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes,
-		Draining: draining, Closing: closing, Log: s.log}
+		Draining: draining, Closing: closing, Held: &s.held, Figures: figures, Log: s.log}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		s.listener.Accept(acceptor.Serve)
 	}()
+	var ending atomic.Bool
+	doorDone := make(chan struct{})
+	if s.door != nil {
+		door := &operator.Door{Log: s.log, Handler: &operations{s: s, router: router, ending: &ending, figures: figures}}
+		go func() {
+			defer close(doorDone)
+			door.Serve(s.door)
+		}()
+	} else {
+		close(doorDone)
+	}
 
 	s.log.Info("drain", "signal", (<-s.heed(working, signals, router)).String())
+	ending.Store(true)
 	drain()
 	time.Sleep(drainTime)
 	s.listener.Close()
 	shut()
 	<-stopped
 	s.listener.Wait()
+	if s.door != nil {
+		s.door.Close()
+	}
+	<-doorDone
 	s.log.Info("stop")
 }
 
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burlpass/internal/transport"
@@ -47,6 +48,8 @@
 	Classes  []string        // class names; a class is its position
 	Draining context.Context // done from the moment on which clients are steered away
 	Closing  context.Context // done when connections without a call are to end
+	Held     *atomic.Bool    // true while the operators have drained the sidecar: steered away as when Draining
+	Figures  *Figures        // counts the calls' answers; nil for none
 	Log      *slog.Logger
 
 	rejected tally
@@ -214,7 +217,7 @@
 	if c.body, err = readBody(c.r, h, c.body[:0]); err != nil {
 		return nil, err
 	}
-	c.closing = h.closing || version[7] == '0' || c.Draining.Err() != nil
+	c.closing = h.closing || version[7] == '0' || c.steering()
 	path, _, _ := bytes.Cut(h.start[1], []byte("?"))
 	if string(path) == healthPath {
 		return nil, nil
@@ -294,6 +297,7 @@
 	}()
 	answer := c.Handler.Serve(call)
 	c.answer(answer)
+	c.Figures.answered(call.Class, answer.Verdict)
 	c.SetReadDeadline(time.Now())
 	<-watched
 }
@@ -346,16 +350,19 @@
 }
 
 func (c *client) health() {
-	if c.Handler.Healthy() && c.Draining.Err() == nil {
+	if c.Handler.Healthy() && !c.steering() {
 		c.write(200, nil, "", []byte("ok"))
 	} else {
 		c.write(503, nil, "", []byte("not able to serve"))
 	}
 }
 
+// steering tells that clients are to go elsewhere: the sidecar ends, or the operators have drained it.
+func (a *Acceptor) steering() bool { return a.Draining.Err() != nil || a.Held != nil && a.Held.Load() }
+
 // answer writes a call's one final answer.
 func (c *client) answer(a Answer) {
-	if c.Draining.Err() != nil || c.Tight() {
+	if c.steering() || c.Tight() {
 		c.closing = true
 	}
 	switch a.Verdict {
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"burlpass/internal/transport"
@@ -50,6 +51,7 @@
 type Workers struct {
 	Pool    *transport.Pool
 	Columns []string // of a load report, in the order of the settings
+	Figures *Figures // counts the calls' attempts written whole; nil for none
 }
 
 // Delegation is one attempt at a worker. Exactly one Result arrives on Done; Reply is filled in where that
@@ -62,7 +64,12 @@
 // Start sends a message to a worker. ready is asked last thing before the first byte goes out.
 func (w *Workers) Start(peer transport.Peer, m Message, remaining time.Duration, ready func() bool) Delegation {
 	reply := &Reply{}
+	var written *atomic.Int64
+	if _, probing := m.(probe); !probing && w.Figures != nil {
+		written = &w.Figures.Written
+	}
 	return Delegation{Reply: reply, Attempt: w.Pool.Start(peer, transport.Exchange{
+		Written: written,
 		Message: net.Buffers(m.Encode(peer.Addr, remaining)),
 		Ready:   ready,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -169,12 +169,7 @@
 			}
 		}
 	}
-	r.up = 0
-	for _, w := range r.workers {
-		if w.state == decide.Ready {
-			r.up++
-		}
-	}
+	r.recount()
 	rest := r.handle(decide.Event{Kind: decide.Members, List: kind, Servers: servers, Version: list.Generation})
 	up := r.up
 	r.mu.Unlock()
@@ -203,17 +198,25 @@
 	case protocol.LifecycleDraining:
 		state = decide.Draining
 	}
-	w := &worker{id: id, instance: i.ID, peer: transport.Peer{Addr: i.Addr}, state: state, startedMs: i.StartedMs}
+	if len(r.seen) < maxSeen {
+		r.seen[i.ID] = true
+	}
+	listed := decide.Server{
+		ID: id, Started: time.Duration(i.StartedMs) * time.Millisecond, Cell: i.Cell, State: state,
+		Zone: position(r.Names.Zones, i.Zone), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
+	}
+	state = r.Out.State(i.ID, state)
+	w := &worker{id: id, instance: i.ID, peer: transport.Peer{Addr: i.Addr}, state: state, startedMs: i.StartedMs,
+		listed: listed}
 	if old := r.workers[id]; old != nil && old.peer.Addr == i.Addr && old.startedMs == i.StartedMs {
 		w.peer.Life = old.peer.Life
 	} else {
 		r.lives++
 		w.peer.Life = r.lives
 	}
-	return w, decide.Server{
-		ID: id, Started: time.Duration(i.StartedMs) * time.Millisecond, Cell: i.Cell, State: state,
-		Zone: position(r.Names.Zones, i.Zone), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
-	}
+	told := listed
+	told.State = state
+	return w, told
 }
 
 // forget drops a worker that is no longer listed. Should its instance come back, it is another worker: a table of
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"burlpass/decide"
+	"burlpass/internal/maintenance"
 	"burlpass/internal/protocol"
 	"burlpass/internal/transport"
 )
@@ -27,6 +28,7 @@
 	Network  transport.Network // on which the registry is reached
 	Registry string            // its address at the start
 	Log      *slog.Logger
+	Out      maintenance.Set // workers taken out by hand at the start, as a process before this one left them
 
 	// Trace is shown every event and the actions that it led to, under the lock; nil for none. It must keep neither.
 	Trace func(now time.Duration, e decide.Event, actions []decide.Action, name func(decide.ServerID) string)
@@ -44,6 +46,7 @@
 	peer      transport.Peer
 	state     decide.State
 	startedMs int64
+	listed    decide.Server // as the registry describes it, before what the operators have said of it
 }
 
 // Router owns the module and all open calls of one sidecar.
@@ -61,6 +64,7 @@
 	lives    uint64 // of workers' processes, so far
 	workers  map[decide.ServerID]*worker
 	up       int // workers listed up
+	seen     map[string]bool // the registry's ids of workers listed since the start, up to maxSeen
 
 	source                     // where the list comes from now
 	foreign      bool          // the list at hand came from the registry before
@@ -73,6 +77,10 @@
 	r := &Router{
 		Config: c, origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed), source: source{addr: c.Registry},
 		calls: map[uint64]*task{}, ids: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
+		seen: map[string]bool{},
+	}
+	for _, id := range c.Out.IDs() {
+		r.seen[id] = true
 	}
 	r.learn(r.source, known, decide.ListCached)
 	return r
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -227,6 +227,23 @@
 	return float64(l.open-l.phases[Silent].Len()-l.phases[Lingering].Len()) > tightShare*float64(l.limit)
 }
 
+// CloseResting closes the connections that rest between two calls, as a sidecar that is drained does: their
+// clients are to go elsewhere, and nothing of theirs is open here. It returns how many it closed.
+func (l *Listener) CloseResting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for e := l.phases[Resting].Front(); e != nil; e = l.phases[Resting].Front() {
+		c := e.Value.(*Client)
+		l.leave(c)
+		c.evicted = true
+		l.open--
+		c.Close()
+		n++
+	}
+	return n
+}
+
 // Close stops listening; connections go on.
 func (l *Listener) Close() error { return l.ln.Close() }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 	Message net.Buffers
 	Ready   func() bool                                   // asked last thing before the first byte goes out
 	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one whole answer
+	Written *atomic.Int64                                 // counts the exchange once its last byte has gone out; nil for none
 }
 
 // Result tells how an exchange ended. Sent is false only where the message's last byte certainly never
@@ -140,6 +142,9 @@
 		a.stage = sent
 	}
 	a.mu.Unlock()
+	if a.x.Written != nil {
+		a.x.Written.Add(1)
+	}
 }
 
 // send writes a part of the message, unless an answer has begun to come, which cannot be the answer to it.
