--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -63,7 +63,7 @@
 	lastID   decide.ServerID
 	lives    uint64 // of workers' processes, so far
 	workers  map[decide.ServerID]*worker
-	up       int // workers listed up
+	up       int             // workers listed up
 	seen     map[string]bool // the registry's ids of workers listed since the start, up to maxSeen
 
 	source                     // where the list comes from now
