--- a/internal/operator/door.go
+++ b/internal/operator/door.go
@@ -138,7 +138,7 @@
 		}
 		return []byte("NAK not ready\n")
 	case Stats:
-		return append(append([]byte("ACK stats\n"), h.Stats()...), "\n--\n"...)
+		return append(h.Stats(), "\n--\n"...) // the figures are the answer: no ACK line before them
 	case Disable, Enable:
 		do, done := h.Disable, "disabled"
 		if c.Verb == Enable {
