--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -89,6 +89,14 @@
 	return transport.Serve(ln, clients, spare), nil
 }
 
+// DoorAddr is where operators connect; nil where there is no door.
+func (s *Sidecar) DoorAddr() net.Addr {
+	if s.door == nil {
+		return nil
+	}
+	return s.door.Addr()
+}
+
 // Addr is where clients connect.
 func (s *Sidecar) Addr() net.Addr { return s.listener.Addr() }
 
--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -168,6 +168,42 @@
 			w1 send 200 one
 			a expect 200 close one
 			sidecar wait exit`},
+		// Drained by the operators: a connection at rest is closed, health says no, the process stays; and back.
+		"drained by the operators": {script: `
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1
+			w1 send 200 ok
+			a expect 200 ok
+			operator send DRAIN
+			operator expect ACK draining
+			a wait
+			b send "GET /_health HTTP/1.1\r\n\r\n"
+			b expect 503 close
+			operator send DRAIN
+			operator expect ACK draining
+			operator send UNDRAIN
+			operator expect ACK serving
+			c send "GET /_health HTTP/1.1\r\n\r\n"
+			c expect 200 ok`},
+		// A disabled worker is left out whatever the registry says, and used again after ENABLE; the figures count
+		// the calls by class and the attempts written.
+		"disabled by hand": {known: "0=up", script: `
+			operator send DISABLE s-7
+			operator expect NAK no such worker has been listed: "s-7"
+			operator send DISABLE s-0
+			operator expect ACK disabled s-0
+			operator send STATS
+			operator expect {"success":{"availability":0,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":0,"paid-extra":0},"backend_calls":0,"inflight":0,"hosts_listed":1,"hosts_down":1} | --
+			a send "GET /_health HTTP/1.1\r\n\r\n"
+			a expect 503
+			operator send ENABLE s-0
+			operator expect ACK enabled s-0
+			b send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1
+			w1 send 200 ok
+			b expect 200 ok
+			operator send STATS
+			operator expect {"success":{"availability":1,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":0,"paid-extra":0},"backend_calls":1,"inflight":0,"hosts_listed":1,"hosts_down":0} | --`},
 		"health": {script: `
 			a send "GET /_health HTTP/1.1\r\n\r\n"
 			a expect 200 ok`},
--- a/internal/program/stage_test.go
+++ b/internal/program/stage_test.go
@@ -53,6 +53,8 @@
 	workers  []string
 	arrivals map[byte]chan arrival // by the first letter of who expects
 	lines    chan string
+	door     string      // the operators' door
+	told     chan string // its answers, their lines joined by " | "
 }
 
 // scenario is what a test plays. The zero values give two workers, both listed up.
@@ -79,7 +81,7 @@
 	t.Helper()
 	st := &stage{t: t, signals: make(chan os.Signal, 1), exited: make(chan struct{}), peers: map[string]*peer{},
 		arrivals: map[byte]chan arrival{'w': make(chan arrival, 100), 'r': make(chan arrival, 100), 'n': make(chan arrival, 100)},
-		lines:    make(chan string, 1000)}
+		lines:    make(chan string, 1000), told: make(chan string, 10)}
 	for i := range 2 {
 		st.workers = append(st.workers, st.listen('w', fmt.Sprintf(" at=%d", i)))
 	}
@@ -95,7 +97,8 @@
 	if s.sockets == 0 {
 		s.sockets = 256
 	}
-	c := &Config{Path: filepath.Join(t.TempDir(), "config.json"), Listen: "127.0.0.1:0", Registry: st.listen('r', "")}
+	c := &Config{Path: filepath.Join(t.TempDir(), "config.json"), Listen: "127.0.0.1:0", Registry: st.listen('r', ""),
+		Operator: "127.0.0.1:0", StateDir: t.TempDir()}
 	st.path = c.Path
 	st.file = fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
 		"known":%s,"discovery":%q,"settings":%s}`, s.sockets, st.list("1 reset "+s.known), st.listen('n', ""), settings)
@@ -110,7 +113,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	st.addr = sidecar.Addr().String()
+	st.addr, st.door = sidecar.Addr().String(), sidecar.DoorAddr().String()
 	go func() { defer close(st.exited); sidecar.Run(st.signals) }()
 	defer func() { // a call that is still owed an answer would hold the exit up
 		for _, p := range st.peers {
@@ -168,6 +171,18 @@
 	case "sidecar":
 		st.signals <- map[string]os.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[what]
 		return nil
+	case "operator": // one line at the door, and its whole answer
+		conn, err := net.Dial("tcp", st.door)
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, what+"\n"); err != nil {
+			return err
+		}
+		b, err := io.ReadAll(conn)
+		st.told <- strings.ReplaceAll(strings.TrimSpace(string(b)), "\n", " | ")
+		return err
 	case "file":
 		text := st.file
 		if what != "next" {
@@ -217,6 +232,9 @@
 	if p := st.peers[who]; p != nil && st.arrivals[who[0]] == nil {
 		from = p.got
 	}
+	if who == "operator" {
+		from = st.told
+	}
 	select {
 	case got = <-from:
 	case a := <-st.arrivals[who[0]]:
--- /dev/null
+++ b/internal/protocol/figures_test.go
@@ -0,0 +1,30 @@
+package protocol
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Each answer moves the one count of its class and verdict, and no other; a class out of range moves nothing.
+func TestFiguresCountEachAnswerOnce(t *testing.T) {
+	classes := []string{"a", "b"}
+	for verdict, want := range map[Verdict]Report{
+		Served:  {Success: map[string]int64{"a": 0, "b": 1}, Busy: map[string]int64{"a": 0, "b": 0}, Failure: map[string]int64{"a": 0, "b": 0}},
+		Refused: {Success: map[string]int64{"a": 0, "b": 0}, Busy: map[string]int64{"a": 0, "b": 1}, Failure: map[string]int64{"a": 0, "b": 0}},
+		Expired: {Success: map[string]int64{"a": 0, "b": 0}, Busy: map[string]int64{"a": 0, "b": 0}, Failure: map[string]int64{"a": 0, "b": 1}},
+		Failed:  {Success: map[string]int64{"a": 0, "b": 0}, Busy: map[string]int64{"a": 0, "b": 0}, Failure: map[string]int64{"a": 0, "b": 1}},
+	} {
+		f := NewFigures(len(classes))
+		f.answered(1, verdict)
+		f.answered(2, verdict)  // no such class
+		f.answered(-1, verdict) // a call that never had one
+		var got Report
+		f.Read(classes, &got)
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("verdict %v: (-want +got)\n%s", verdict, d)
+		}
+	}
+	var none *Figures
+	none.answered(0, Served) // a sidecar without figures counts nothing and does not fail
+}
