Maintenance file written under one lock: two DISABLEs at once are both kept

At fault: operations.keep took a copy of the set and wrote the file without a lock, so the write from an older copy could be renamed last.

Change: the copy and the write happen under one mutex.

--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 
 	"burlpass/internal/maintenance"
@@ -17,6 +18,8 @@
 	router  *routing.Router
 	ending  *atomic.Bool // SIGTERM has come: the process is not to be counted on any more
 	figures *protocol.Figures
+
+	keeping sync.Mutex // one write of the file at a time, each of the set as it is then: none overtakes a newer one
 }
 
 func (o *operations) Ready() bool { return !o.ending.Load() && o.router.Healthy() }
@@ -41,6 +44,8 @@
 	if path == "" {
 		return nil
 	}
+	o.keeping.Lock()
+	defer o.keeping.Unlock()
 	set := o.router.Maintenance()
 	if err := writeAtomically(path, set.Encode()); err != nil {
 		o.s.log.Error("maintenance_not_kept", "path", path, "err", err)
--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -204,6 +204,11 @@
 			b expect 200 ok
 			operator send STATS
 			operator expect {"success":{"availability":1,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":0,"paid-extra":0},"backend_calls":1,"inflight":0,"hosts_listed":1,"hosts_down":0} | --`},
+		// Commands that come at once are all kept for the next process: none overwrites another's.
+		"disabled at once": {script: `
+			operator together DISABLE s-0 ; DISABLE s-1
+			operator expect ACK disabled s-0 ; ACK disabled s-1
+			state expect {"kind":"burlpass maintenance 1","out":["s-0","s-1"]}`},
 		"health": {script: `
 			a send "GET /_health HTTP/1.1\r\n\r\n"
 			a expect 200 ok`},
--- a/internal/program/stage_test.go
+++ b/internal/program/stage_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -54,6 +55,7 @@
 	arrivals map[byte]chan arrival // by the first letter of who expects
 	lines    chan string
 	door     string      // the operators' door
+	state    string      // the folder where what outlives the process is kept
 	told     chan string // its answers, their lines joined by " | "
 }
 
@@ -99,6 +101,7 @@
 	}
 	c := &Config{Path: filepath.Join(t.TempDir(), "config.json"), Listen: "127.0.0.1:0", Registry: st.listen('r', ""),
 		Operator: "127.0.0.1:0", StateDir: t.TempDir()}
+	st.state = c.StateDir
 	st.path = c.Path
 	st.file = fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
 		"known":%s,"discovery":%q,"settings":%s}`, s.sockets, st.list("1 reset "+s.known), st.listen('n', ""), settings)
@@ -148,6 +151,22 @@
 		return st.expect(who, what)
 	case "close":
 		return st.peers[who].Close()
+	case "together": // lines at the door at once, each on its connection; their answers sorted, joined by " ; "
+		lines := strings.Split(what, " ; ")
+		errs := make(chan error, len(lines))
+		for _, line := range lines {
+			go func() { errs <- st.send(who, line) }()
+		}
+		answers := []string{}
+		for range lines {
+			if err := <-errs; err != nil {
+				return err
+			}
+			answers = append(answers, <-st.told)
+		}
+		slices.Sort(answers)
+		st.told <- strings.Join(answers, " ; ")
+		return nil
 	case "wait": // for the other side's close, or the sidecar's exit
 		if who == "sidecar" {
 			return await(st.exited)
@@ -217,6 +236,13 @@
 
 func (st *stage) expect(who, what string) error {
 	late := time.After(patience)
+	if who == "state" { // the file of the workers disabled by hand
+		b, err := os.ReadFile(filepath.Join(st.state, "burlpass-.maintenance"))
+		if err != nil {
+			return err
+		}
+		return cmpDiff(what, strings.TrimSpace(string(b)))
+	}
 	for who == "log" {
 		select {
 		case line := <-st.lines:
@@ -369,3 +395,10 @@
 	return fmt.Sprintf(`{"generation":%s,"reset":%v,"instances":[%s]}`, strings.Fields(what)[0],
 		strings.Contains(what, "reset"), strings.Join(items, ","))
 }
+
+func cmpDiff(want, got string) error {
+	if diff := cmp.Diff(want, got); diff != "" {
+		return fmt.Errorf("(-want +got)\n%s", diff)
+	}
+	return nil
+}
