--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -294,6 +294,7 @@
 	Name     string   `toml:"name" default:"sidecar" doc:"the sidecar's name, the same after a restart"`
 	Listen   string   `toml:"listen" default:"127.0.0.1:3000" doc:"host and port where clients connect"`
 	Registry string   `toml:"registry" default:"127.0.0.1:8500" doc:"host and port of the registry"`
+	Lists    string   `toml:"lists" default:"asked" oneof:"asked pushed" doc:"asked: the registry is one service for all, asked when the module says so; pushed: an agent beside the sidecar holds the list, and a watch on it is kept all the time"`
 	Operator string   `toml:"operator" doc:"host and port of the operators' door; none where empty"`
 	Seed     string   `toml:"seed" doc:"hexadecimal seed of random numbers; a fresh one at each start where empty"`
 	Zone     string   `toml:"zone" required:"true" doc:"the sidecar's own zone, one of zones"`
@@ -328,6 +329,7 @@
 type fileDelegations struct {
 	Most       int           `toml:"max_attempts" default:"3" range:"1..100" doc:"delegations of one call"`
 	Cancel     bool          `toml:"cancel" default:"true" doc:"a delegation may be given up before its time"`
+	Copies     bool          `toml:"second_copies" default:"false" doc:"another delegation of a call may be out beside one that is late; the first whole answer counts"`
 	Probe      bool          `toml:"probe" default:"true" doc:"workers may be probed"`
 	RetryAfter bool          `toml:"retry_after" default:"true" doc:"refusals name a time to stay away"`
 	MaxRetry   time.Duration `toml:"max_retry_after" default:"1500ms" range:"0s..1h" doc:"the longest such time"`
@@ -406,12 +408,12 @@
 		f.Fail("ordinal", "%d: less than the number of sidecars is expected", x.Ordinal)
 	}
 	c.Decide = decide.Config{
-		Zone: max(zone, 0), Ordinal: x.Ordinal, Balancers: x.Sidecars, OverShareWorth: 1, Subscribe: true,
+		Zone: max(zone, 0), Ordinal: x.Ordinal, Balancers: x.Sidecars, OverShareWorth: 1, Subscribe: x.Lists != "pushed",
 		Weights: decide.Weights(max(0, slices.Index([]string{"none", "nominal", "rough", "live"}, x.Weights))),
 		Reports: decide.Reports(max(0, slices.Index([]string{"none", "answers", "probes"}, x.Reports.Via))), Columns: x.Reports.Columns,
 		Safety: decide.Safety{AnswerSlack: x.Rules.AnswerSlack, AskWithin: x.Rules.AskWithin, DrainGrace: x.Rules.DrainGrace,
 			FallMultiple: x.Rules.FallMultiple, TipAfter: x.Rules.FallTime, StartShare: x.Rules.Start, WarmAfter: x.Rules.Warm},
-		Limits: decide.Limits{Cancel: x.Delegations.Cancel, Probe: x.Delegations.Probe, RetryAfter: x.Delegations.RetryAfter,
+		Limits: decide.Limits{Cancel: x.Delegations.Cancel, Probe: x.Delegations.Probe, RetryAfter: x.Delegations.RetryAfter, SecondCopies: x.Delegations.Copies,
 			MaxAttempts: x.Delegations.Most, MaxRetryAfter: x.Delegations.MaxRetry},
 		Prices: decide.Prices{CrossZone: x.Prices.Cross, Waste: x.Prices.Waste, Probe: x.Prices.Probe, LateFail: x.Prices.LateFail,
 			Handshake: x.Prices.Handshake, Connection: x.Prices.Connection},
--- /dev/null
+++ b/internal/program/deployment_test.go
@@ -0,0 +1,167 @@
+package program
+
+import "testing"
+
+// What another deployment's settings ask for: lists that an agent pushes, and second copies.
+func TestDeployments(t *testing.T) {
+	for name, s := range map[string]scenario{
+		// The sidecar keeps the watch by itself, from the whole list on; what is told is heeded at once.
+		"pushed": {set: pushed, script: `
+			registry expect GET /catalog/members
+			registry send 1 reset 0=up 1=up
+			registry expect GET /catalog/members?since=1&timeout_ms=1000
+			registry send 2 0=draining
+			registry expect GET /catalog/members?since=2&timeout_ms=1000
+			registry send 2
+			registry expect GET /catalog/members?since=2&timeout_ms=1000
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1
+			w1 send 200 ok
+			a expect 200 ok`},
+		// An agent that says nothing is asked again, and again; its first word counts.
+		"pushed, silent for long": {set: pushed, known: "0=up", script: `
+			registry expect GET /catalog/members
+			log expect failures=1
+			registry expect GET /catalog/members
+			log expect failures=2
+			registry expect GET /catalog/members
+			registry send 7 reset 1=up
+			registry expect GET /catalog/members?since=7&timeout_ms=1000
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1
+			w1 send 200 ok
+			a expect 200 ok`},
+		// One that breaks off, that answers garbage, and that counts anew after it: the old list stays until the whole
+		// new one is there, and that one counts however low its generation.
+		"pushed, resets, garbage, counts anew": {set: pushed, known: "0=up", script: `
+			registry expect GET /catalog/members
+			registry close
+			log expect event=registry_failed
+			registry expect GET /catalog/members
+			registry send "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"x\":"
+			log expect event=registry_failed
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=0
+			w1 send 200 ok
+			a expect 200 ok
+			registry expect GET /catalog/members
+			registry send 9 reset 0=up
+			registry expect GET /catalog/members?since=9&timeout_ms=1000
+			registry close
+			registry expect GET /catalog/members
+			registry send 2 reset 1=up
+			registry expect GET /catalog/members?since=2&timeout_ms=1000
+			b send GET /availability/x id=t2 expires=2000m
+			w2 expect GET /availability/x id=t2 at=1
+			w2 send 200 ok
+			b expect 200 ok`},
+		// A list that shrinks to nothing is believed: nobody is left to send to, and it is refused at the end of what
+		// could still be earned.
+		"pushed, nobody left": {set: pushed, script: `
+			registry expect GET /catalog/members
+			registry send 3 reset
+			registry expect GET /catalog/members?since=3&timeout_ms=1000
+			a send POST /booking/x id=t1 expires=100m body=b
+			a expect 503 after=1.5`},
+		// A reload moves to the agent that the file names now, and follows that one from then on.
+		"pushed, reload": {set: pushed, known: "0=up", script: `
+			registry expect GET /catalog/members
+			registry send 8 reset 0=up
+			registry expect GET /catalog/members?since=8&timeout_ms=1000
+			file send next
+			sidecar send HUP
+			next expect GET /catalog/members
+			registry wait
+			next send 0 reset 1=up
+			next expect GET /catalog/members?since=0&timeout_ms=1000
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1
+			w1 send 200 ok
+			a expect 200 ok`},
+		// A second copy goes out beside the first; the first whole answer is the call's, the other is called off.
+		"second copy answers": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			w2 send 200 two
+			a expect 200 two
+			w1 wait
+			a send GET /availability/y id=t2 expires=3000m
+			w3 expect GET /availability/y id=t2
+			w3 send 200 next
+			a expect 200 next`},
+		"first copy answers": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			w1 send 200 one
+			a expect 200 one
+			w2 wait`},
+		// Both at once: one answer, and the next call's own after it.
+		"both copies answer": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			w1 send 200 same
+			w2 send 200 same
+			a expect 200 same
+			a send GET /availability/y id=t2 expires=3000m
+			w3 expect GET /availability/y id=t2
+			w3 send 200 next
+			a expect 200 next`},
+		// A copy that fails decides nothing while another is out.
+		"first copy fails": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			w1 send 500 no
+			w2 send 200 two
+			a expect 200 two`},
+		"first copy's worker dies": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			w1 close
+			w2 send 200 two
+			a expect 200 two`},
+		"client leaves two copies": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			a close
+			w1 wait
+			w2 wait`},
+		"time runs out on two copies": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=700m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			a expect 503 after=1.5
+			w1 wait
+			w2 wait`},
+		"planned stop with two copies": {set: copies, script: `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1
+			w2 expect GET /availability/x id=t1
+			sidecar send TERM
+			w2 send 200 two
+			a expect 200 close two
+			sidecar wait exit`},
+		// A booking is never copied, whatever the settings allow: one attempt has gone out.
+		"no copy of an unsafe call": {set: copies, script: `
+			a send POST /booking/x id=t1 expires=900m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			a expect 504
+			operator send STATS
+			operator expect {"success":{"availability":0,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":1,"paid-extra":0},"backend_calls":1,"inflight":0,"hosts_listed":2,"hosts_down":0,"list_age_ms":T} | --`},
+		// Where copies are not allowed the same silence leads to none: the first is closed before another goes out.
+		"copies off": {script: `
+			a send GET /availability/x id=t1 expires=700m
+			w1 expect GET /availability/x id=t1
+			a expect 503 after=1.5
+			w1 wait
+			b send GET /availability/y id=t2 expires=3000m
+			w2 expect GET /availability/y id=t2`},
+	} {
+		t.Run(name, func(t *testing.T) { t.Parallel(); play(t, s) })
+	}
+}
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -29,6 +29,7 @@
 	o.figures.Read(o.s.config.Names.Classes, &r)
 	r.Inflight = o.router.Open()
 	r.HostsListed, r.HostsDown = o.router.Hosts()
+	r.ListAgeMs = o.router.ListAge().Milliseconds()
 	return r.JSON()
 }
 
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -296,8 +296,8 @@
 		}
 	}()
 	answer := c.Handler.Serve(call)
+	c.Figures.answered(call.Class, answer.Verdict) // before it is out: whoever has it finds it counted
 	c.answer(answer)
-	c.Figures.answered(call.Class, answer.Verdict)
 	c.SetReadDeadline(time.Now())
 	<-watched
 }
--- a/internal/protocol/figures.go
+++ b/internal/protocol/figures.go
@@ -41,6 +41,7 @@
 	Inflight     int              `json:"inflight"`
 	HostsListed  int              `json:"hosts_listed"`
 	HostsDown    int              `json:"hosts_down"`
+	ListAgeMs    int64            `json:"list_age_ms"` // since the registry last answered
 }
 
 // Read fills in the counts of a report, each class under its name.
--- a/internal/protocol/registry.go
+++ b/internal/protocol/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -125,6 +126,8 @@
 type Registry struct {
 	Network transport.Network
 	Addr    string
+	Wait    time.Duration // that a watch asks for; 0: 10 s
+	Grace   time.Duration // in which an answer must be there beyond its wait; 0: 1.75 s for a watch, 5 s for a plain call
 	conn    net.Conn
 	r       *bufio.Reader
 }
@@ -132,13 +135,13 @@
 // Watch waits for something newer than a generation.
 func (g *Registry) Watch(ctx context.Context, since uint64) (*List, error) {
 	target := "/catalog/members?since=" + strconv.FormatUint(since, 10) +
-		"&timeout_ms=" + strconv.FormatInt(watchTime.Milliseconds(), 10)
-	return g.get(ctx, target, watchTime+watchGrace)
+		"&timeout_ms=" + strconv.FormatInt(cmp.Or(g.Wait, watchTime).Milliseconds(), 10)
+	return g.get(ctx, target, cmp.Or(g.Wait, watchTime)+cmp.Or(g.Grace, watchGrace))
 }
 
 // Fetch asks for the whole list.
 func (g *Registry) Fetch(ctx context.Context) (*List, error) {
-	return g.get(ctx, "/catalog/members", fetchTime)
+	return g.get(ctx, "/catalog/members", cmp.Or(g.Grace, fetchTime))
 }
 
 // Close ends the connection.
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -61,21 +61,33 @@
 	Reply *Reply
 }
 
+// Return is where a delegation's Result goes, and the tag that it bears there. The zero value leaves it to the
+// delegation's own Done; a channel that several share needs room for all of them.
+type Return struct {
+	To  chan transport.Result
+	Tag int
+}
+
 // Start sends a message to a worker. ready is asked last thing before the first byte goes out.
-func (w *Workers) Start(peer transport.Peer, m Message, remaining time.Duration, ready func() bool) Delegation {
+func (w *Workers) Start(peer transport.Peer, m Message, remaining time.Duration, ready func() bool, back Return) Delegation {
 	reply := &Reply{}
 	var written *atomic.Int64
 	if _, probing := m.(probe); !probing && w.Figures != nil {
 		written = &w.Figures.Written
 	}
 	return Delegation{Reply: reply, Attempt: w.Pool.Start(peer, transport.Exchange{
-		Written: written,
+		Written: written, Tag: back.Tag, Done: back.To,
 		Message: net.Buffers(m.Encode(peer.Addr, remaining)),
 		Ready:   ready,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
 	})}
 }
 
+// Revoked is a delegation that has ended before it began, for the given reason.
+func Revoked(err error, back Return) Delegation {
+	return Delegation{Reply: &Reply{}, Attempt: transport.Refused(transport.Exchange{Tag: back.Tag, Done: back.To}, err)}
+}
+
 // CloseIdle closes the idle connections to a worker.
 func (w *Workers) CloseIdle(peer transport.Peer) { w.Pool.CloseIdle(peer) }
 
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,44 +39,60 @@
 	try     int
 	worker  decide.ServerID
 	begun   time.Time
-	timeout *time.Timer // fires when the attempt's or the call's time is up
-	expired bool        // given up for that
-	fresh   bool        // went over a connection opened for it
+	end     time.Time // of the attempt's or the call's time
+	expired bool      // given up for that
+	fresh   bool      // went over a connection opened for it
 }
 
-// maxTries bounds a mailbox where a deployment allows attempts without end.
+// maxTries bounds a mailbox where a deployment allows attempts without end, and the copies that are out together.
 const maxTries = 32
 
 // overtime is how long after a call's end the router waits for the module's own answer. The module gives
 // one at the end; that it should not is a fault, and the client is answered all the same.
 const overtime = 20 * time.Millisecond
 
+// copies is how many delegations of a call may be out together.
+func (r *Router) copies() int {
+	if r.Decide.Limits.SecondCopies {
+		return min(max(r.Decide.Limits.MaxAttempts, 1), maxTries)
+	}
+	return 1
+}
+
 // Serve is the life of a call, from being taken to its one final answer. At each point of choice an event
-// goes to the module (enter, tell), and the module's orders come back through the call's mailbox.
+// goes to the module (enter, tell), and the module's orders come back through the call's mailbox. The first whole
+// answer of a worker is the call's; what else is out is called off then, and how it ended is told all the same.
 func (r *Router) Serve(call *protocol.Call) protocol.Answer {
 	t := r.enter(call) // the module is told of the call, and chooses
 	defer r.leave(t)
 	overdue := time.NewTimer(call.Budget + overtime)
 	defer overdue.Stop()
+	timeout := time.NewTimer(call.Budget) // the next end of a delegation's time
+	defer timeout.Stop()
 
-	var out delegation               // the one delegation that is out
-	var done <-chan transport.Result // its result; nil while none is out
-	var timeout <-chan time.Time     // its time; nil while none is out
-	var final *protocol.Answer       // the answer, once chosen
+	copies := r.copies()
+	out := make([]*delegation, 0, 2)               // the delegations that are out
+	results := make(chan transport.Result, copies) // theirs; there is room for all, so that none waits
+	var final *protocol.Answer                     // the answer, once chosen
 	left := call.Left
 	for {
 		select {
 		case a := <-t.orders:
 			switch {
-			case a.Kind == decide.Send && done == nil && final == nil:
-				out = r.delegate(t, a)
-				done, timeout = out.Done, out.timeout.C
-			case a.Kind == decide.Send: // a second copy is never made, nor anything after the answer
+			case a.Kind == decide.Send && len(out) < copies && final == nil:
+				d := r.delegate(t, a, results)
+				out = append(out, d)
+				if a.Timeout != 0 {
+					timeout.Reset(time.Until(earliest(out)))
+				}
+			case a.Kind == decide.Send: // no copy beside another where that is not allowed, nor anything after the answer
 				r.tell(t.outcome(&delegation{try: t.tries, worker: a.Server}, decide.Moot, final != nil))
 				t.tries++
 			case a.Kind == decide.Cancel:
-				if done != nil && a.Attempt == out.try {
-					out.Abort()
+				for _, d := range out {
+					if d.try == a.Attempt {
+						d.Abort()
+					}
 				}
 			case a.Kind == decide.Refuse:
 				final = &protocol.Answer{Verdict: protocol.Refused, Wait: a.Wait}
@@ -85,39 +102,46 @@
 					final.Verdict = protocol.Expired
 				}
 			}
-			if final != nil && done != nil {
-				out.Abort() // the answer is chosen; what is out is called off, and its outcome told below
+			if final != nil {
+				abort(out) // the answer is chosen; what is out is called off, and its outcome told below
 			}
 
-		case result := <-done:
-			out.timeout.Stop()
-			done, timeout = nil, nil
-			out.fresh = result.Sent && !result.Kept
-			status := out.status(result, left == nil)
+		case result := <-results:
+			at := slices.IndexFunc(out, func(d *delegation) bool { return d.try == result.Tag })
+			d := out[at]
+			out = slices.Delete(out, at, at+1)
+			d.fresh = result.Sent && !result.Kept
+			status := d.status(result, left == nil)
 			if status == decide.OK && final == nil {
-				final = &protocol.Answer{Verdict: protocol.Served, Reply: out.Reply}
+				final = &protocol.Answer{Verdict: protocol.Served, Reply: d.Reply}
+				abort(out)
 			}
-			r.tell(t.outcome(&out, status, final != nil || left == nil)) // the module chooses what comes next
+			r.tell(t.outcome(d, status, final != nil || left == nil)) // the module chooses what comes next
 
-		case <-timeout:
-			timeout = nil
-			out.expired = true
-			out.Abort()
+		case <-timeout.C:
+			now := time.Now()
+			for _, d := range out {
+				if !now.Before(d.end) {
+					d.expired = true
+					d.Abort()
+				}
+			}
+			if next := earliest(out); next.After(now) {
+				timeout.Reset(next.Sub(now))
+			}
 
 		case <-left:
 			left = nil
 			t.gone.Store(true)
-			r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegation off
+			r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegations off
 
 		case <-overdue.C:
 			r.Log.Error("call_overdue", "call", t.id, "delegations", t.tries)
 			r.tell(decide.Event{Kind: decide.Left, ID: t.id})
 			final = &protocol.Answer{Verdict: protocol.Expired}
-			if done != nil {
-				out.Abort()
-			}
+			abort(out)
 		}
-		if done == nil && (final != nil || left == nil) {
+		if len(out) == 0 && (final != nil || left == nil) {
 			if final == nil {
 				final = &protocol.Answer{} // for nobody
 			}
@@ -126,6 +150,23 @@
 	}
 }
 
+// abort calls delegations off. Their connections are closed when it returns, and their results are there.
+func abort(out []*delegation) {
+	for _, d := range out {
+		d.Abort()
+	}
+}
+
+// earliest is the next end of a delegation's time, the zero time where none is out.
+func earliest(out []*delegation) (at time.Time) {
+	for _, d := range out {
+		if !d.expired && (at.IsZero() || d.end.Before(at)) {
+			at = d.end
+		}
+	}
+	return at
+}
+
 // enter makes a call known and tells the module of it.
 func (r *Router) enter(call *protocol.Call) *task {
 	t := &task{call: call, end: time.Now().Add(call.Budget),
@@ -147,21 +188,21 @@
 	delete(r.calls, t.id)
 }
 
-// delegate sends a call to the worker that the module chose.
-func (r *Router) delegate(t *task, a decide.Action) delegation {
+// delegate sends a call to the worker that the module chose. Its result goes to results, under its number.
+func (r *Router) delegate(t *task, a decide.Action, results chan transport.Result) *delegation {
 	now := time.Now()
-	limit := t.end.Sub(now)
-	if a.Timeout != 0 {
-		limit = min(limit, a.Timeout)
+	d := &delegation{try: t.tries, worker: a.Server, begun: now, end: t.end}
+	if at := now.Add(a.Timeout); a.Timeout != 0 && at.Before(t.end) {
+		d.end = at
 	}
-	d := delegation{try: t.tries, worker: a.Server, begun: now, timeout: time.NewTimer(limit)}
 	t.tries++
+	back := protocol.Return{To: results, Tag: d.try}
 	w := r.worker(a.Server)
 	if w == nil { // it left the list between the choice and now
-		d.Attempt = transport.Refused(transport.ErrRevoked)
+		d.Delegation = protocol.Revoked(transport.ErrRevoked, back)
 		return d
 	}
-	d.Delegation = r.Workers.Start(w.peer, t.call.Message, limit, func() bool { return !t.gone.Load() && r.still(w) })
+	d.Delegation = r.Workers.Start(w.peer, t.call.Message, d.end.Sub(now), func() bool { return !t.gone.Load() && r.still(w) }, back)
 	return d
 }
 
--- /dev/null
+++ b/internal/routing/copies_test.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"burlpass/decide"
+	"burlpass/internal/logging"
+	"burlpass/internal/protocol"
+	"burlpass/internal/transport"
+)
+
+// gate is a network on which a connection to an address is there only once somebody opens the address.
+type gate struct {
+	transport.System
+	mu     sync.Mutex
+	closed map[string]chan struct{}
+	dials  chan string
+}
+
+func (g *gate) Dial(ctx context.Context, addr string) (transport.Socket, error) {
+	g.mu.Lock()
+	shut := g.closed[addr]
+	g.mu.Unlock()
+	g.dials <- addr
+	if shut != nil {
+		select {
+		case <-shut:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return g.System.Dial(ctx, addr)
+}
+
+// plain is a message of the network's simplest form.
+type plain struct{}
+
+func (plain) Encode(worker string, _ time.Duration) [][]byte {
+	return [][]byte{[]byte("GET /x HTTP/1.1\r\nHost: " + worker + "\r\n\r\n")}
+}
+
+// A second copy that still waits for its connection: what happens to its worker, to the first copy or to the client
+// meanwhile decides whether it goes out, and nothing of it does otherwise.
+func TestCopyBeingDialled(t *testing.T) {
+	type world struct {
+		r    *Router
+		left chan struct{}
+		one  net.Conn // the first copy's
+	}
+	list := func(generation uint64, second protocol.Lifecycle, addrs ...string) *protocol.List {
+		return &protocol.List{Generation: generation, Reset: true, Instances: []protocol.Instance{
+			{ID: "one", Addr: addrs[0], Lifecycle: protocol.Up}, {ID: "two", Addr: addrs[1], Lifecycle: second}}}
+	}
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+	for name, test := range map[string]struct {
+		meanwhile func(w world, addrs ...string)
+		reaches   bool // the second copy goes out
+		want      string
+	}{
+		"drained": {func(w world, addrs ...string) {
+			w.r.learn(w.r.source, list(2, protocol.LifecycleDraining, addrs...), decide.ListFull)
+		}, false, "one"},
+		"restarted": {func(w world, addrs ...string) {
+			l := list(2, protocol.Up, addrs...)
+			l.Instances[1].StartedMs = 9
+			w.r.learn(w.r.source, l, decide.ListFull)
+		}, false, "one"},
+		"first copy's worker gone": {func(w world, _ ...string) { w.one.Close() }, true, "two"},
+		"first copy answers":       {func(w world, _ ...string) { io.WriteString(w.one, answer+"one") }, false, "one"},
+		"client leaves":            {func(w world, _ ...string) { close(w.left) }, false, ""},
+		"nothing":                  {func(world, ...string) {}, true, "two"},
+		"first copy's worker is drained": {func(w world, addrs ...string) {
+			l := list(2, protocol.Up, addrs...)
+			l.Instances[0].Lifecycle = protocol.LifecycleDraining
+			w.r.learn(w.r.source, l, decide.ListFull)
+		}, true, "two"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			accepted, addrs := [2]chan net.Conn{}, []string{}
+			for i := range accepted {
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer ln.Close()
+				accepted[i] = make(chan net.Conn, 4)
+				addrs = append(addrs, ln.Addr().String())
+				go func() {
+					for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+						accepted[i] <- c
+					}
+				}()
+			}
+			g := &gate{closed: map[string]chan struct{}{}, dials: make(chan string, 8)}
+			r := New(ctx, Config{Decide: decide.Config{Subscribe: true, Zone: 0,
+				Classes: []decide.Class{{Aim: 300 * time.Millisecond, Deadline: 5 * time.Second, Worth: 1}},
+				Safety:  decide.Safety{FallMultiple: 3, TipAfter: time.Second, StartShare: 0.5},
+				Limits:  decide.Limits{SecondCopies: true, Cancel: true, MaxAttempts: 2}},
+				Network: g, Registry: "127.0.0.1:1", Log: logging.Discard(), Names: Names{Zones: []string{""}},
+				Workers: &protocol.Workers{Pool: transport.NewPool(g, transport.NewBudget(9), 5*time.Second, time.Minute)}},
+				&protocol.List{Generation: 1, Reset: true, Instances: []protocol.Instance{{ID: "one", Addr: addrs[0], Lifecycle: protocol.Up}}})
+			w := world{r: r, left: make(chan struct{})}
+			answers := make(chan protocol.Answer, 1)
+			go func() {
+				answers <- r.Serve(&protocol.Call{Budget: 5 * time.Second, Message: plain{}, Left: w.left})
+			}()
+			w.one = <-accepted[0] // the only worker listed yet
+			g.mu.Lock()
+			g.closed[addrs[1]] = make(chan struct{})
+			g.mu.Unlock()
+			r.learn(r.source, list(2, protocol.Up, addrs...), decide.ListFull)
+			for <-g.dials != addrs[1] { // until the second copy is being dialled
+			}
+			test.meanwhile(w, addrs...)
+			if test.want == "one" || test.want == "" { // settled by that alone, or once the first copy answers
+				if name != "first copy answers" && test.want != "" {
+					close(g.closed[addrs[1]])
+					expectNothing(t, <-accepted[1])
+					io.WriteString(w.one, answer+"one")
+				}
+			} else {
+				close(g.closed[addrs[1]])
+				two := <-accepted[1]
+				if got := firstLine(two); (got != "") != test.reaches {
+					t.Fatalf("the second copy's worker got %q", got)
+				}
+				io.WriteString(two, answer+"two")
+			}
+			got := ""
+			if a := <-answers; a.Reply != nil {
+				got = string(a.Reply.Body)
+			}
+			if got != test.want {
+				t.Errorf("answered %q, want %q", got, test.want)
+			}
+			if !test.reaches && (name == "first copy answers" || test.want == "") {
+				select {
+				case c := <-accepted[1]:
+					expectNothing(t, c)
+				default: // it never came up
+				}
+			}
+		})
+	}
+}
+
+// firstLine is the request's path, empty where none came.
+func firstLine(c net.Conn) string {
+	buf := make([]byte, 512)
+	n, err := c.Read(buf)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return ""
+	}
+	return string(buf[:n])
+}
+
+func expectNothing(t *testing.T, c net.Conn) {
+	t.Helper()
+	if b, _ := io.ReadAll(c); len(b) > 0 {
+		t.Errorf("the second copy's worker got %q", b)
+	}
+}
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -36,21 +36,34 @@
 	r.carryOut(rest)
 }
 
-// watch starts or ends the watch on the registry.
+// watch starts or ends the watch on the registry where the module asks for it. Where lists are pushed the watch is
+// the feed's, and lasts as long as the router.
 func (r *Router) watch(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
+	case !r.Decide.Subscribe:
 	case on && r.subscription == nil:
-		s := &subscription{source: r.source, whole: r.foreign}
-		s.ctx, s.cancel = context.WithCancel(r.ctx)
-		r.subscription = s
-		go r.follow(s)
+		s := r.subscribe()
+		go func() {
+			registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
+			if err := r.follow(s, registry, watchPace); err != nil {
+				r.listFailed(s.source, "watch", err)
+			}
+		}()
 	case !on:
 		r.unsubscribe()
 	}
 }
 
+// subscribe makes the subscription to the registry of now. It is called under the lock.
+func (r *Router) subscribe() *subscription {
+	s := &subscription{source: r.source, whole: r.foreign}
+	s.ctx, s.cancel = context.WithCancel(r.ctx)
+	r.subscription = s
+	return s
+}
+
 func (r *Router) unsubscribe() {
 	if r.subscription != nil {
 		r.subscription.cancel()
@@ -62,14 +75,13 @@
 // again, is not flooded; the next call of a watch must come within 200 ms of the last answer.
 const watchPace = 100 * time.Millisecond
 
-// follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a
-// call fails. That failure is told once; the module chooses when to watch again.
-func (r *Router) follow(s *subscription) {
+// follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a call
+// fails. It returns that failure, and nil where the watch was ended from here.
+func (r *Router) follow(s *subscription, registry *protocol.Registry, pace time.Duration) error {
 	defer s.cancel()
-	registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
 	defer registry.Close()
 	for {
-		next := time.After(watchPace)
+		next := time.After(pace)
 		var list *protocol.List
 		var err error
 		kind := decide.ListDelta
@@ -90,9 +102,9 @@
 			}
 			r.mu.Unlock()
 			if current && s.ctx.Err() == nil {
-				r.listFailed(s.source, "watch", err)
+				return err
 			}
-			return
+			return nil
 		}
 		r.learn(s.source, list, kind)
 		<-next
@@ -144,6 +156,9 @@
 		kind = decide.ListFull
 	}
 	r.generation = list.Generation
+	if kind != decide.ListCached {
+		r.heard = time.Now()
+	}
 	r.foreign = r.foreign && kind == decide.ListDelta
 	servers := make([]decide.Server, 0, len(list.Instances))
 	stale := []transport.Peer{} // whose idle connections are of no more use
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -70,6 +70,7 @@
 	foreign      bool          // the list at hand came from the registry before
 	generation   uint64        // of the list at hand
 	subscription *subscription // the watch that is going on, nil where there is none
+	heard        time.Time     // when the registry last answered; at the start, when this began
 }
 
 // New returns a Router that knows the workers of the list known. It works until ctx is done.
@@ -82,7 +83,11 @@
 	for _, id := range c.Out.IDs() {
 		r.seen[id] = true
 	}
+	r.heard = r.origin
 	r.learn(r.source, known, decide.ListCached)
+	if !c.Decide.Subscribe {
+		go r.feed()
+	}
 	return r
 }
 
@@ -196,7 +201,7 @@
 	e := decide.Event{Kind: decide.Probed, Server: id, Status: decide.ConnectFailed}
 	begun := time.Now()
 	if w := r.worker(id); w != nil {
-		d := r.Workers.Start(w.peer, protocol.Probe(), probeTime, func() bool { return r.still(w) })
+		d := r.Workers.Start(w.peer, protocol.Probe(), probeTime, func() bool { return r.still(w) }, protocol.Return{})
 		late := time.AfterFunc(probeTime, d.Abort)
 		result := <-d.Done
 		onTime := late.Stop()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -28,11 +28,22 @@
 	Ready   func() bool                                   // asked last thing before the first byte goes out
 	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one whole answer
 	Written *atomic.Int64                                 // counts the exchange once its last byte has gone out; nil for none
+	Tag     int                                           // the caller's own; its Result bears it
+	Done    chan Result                                   // where the Result goes, with room for it; nil for a channel of the attempt's own
+}
+
+// done is the channel for the exchange's result.
+func (x *Exchange) done() chan Result {
+	if x.Done != nil {
+		return x.Done
+	}
+	return make(chan Result, 1)
 }
 
 // Result tells how an exchange ended. Sent is false only where the message's last byte certainly never
 // went out, so that the worker cannot have started on it.
 type Result struct {
+	Tag  int // of the exchange
 	Sent bool
 	Kept bool // it went over a connection kept from an exchange before
 	Err  error
@@ -80,7 +91,7 @@
 func (a *Attempt) settleLocked(isSent bool, err error) {
 	if a.stage != settled {
 		a.stage = settled
-		a.Done <- Result{Sent: isSent, Kept: a.kept, Err: err}
+		a.Done <- Result{Tag: a.x.Tag, Sent: isSent, Kept: a.kept, Err: err}
 	}
 }
 
@@ -222,7 +233,7 @@
 
 // Start sends an exchange to a worker on an idle connection, or on a new one.
 func (p *Pool) Start(peer Peer, x Exchange) *Attempt {
-	a := &Attempt{Done: make(chan Result, 1), x: x, wrote: make(chan struct{})}
+	a := &Attempt{Done: x.done(), x: x, wrote: make(chan struct{})}
 	if c := p.reuse(peer, a); c != nil {
 		c.SetReadDeadline(time.Time{})
 		a.write(c)
@@ -399,9 +410,9 @@
 	}
 }
 
-// Refused returns an Attempt that has ended before it began, for the given reason.
-func Refused(err error) *Attempt {
-	a := &Attempt{Done: make(chan Result, 1)}
+// Refused returns an Attempt at x that has ended before it began, for the given reason.
+func Refused(x Exchange, err error) *Attempt {
+	a := &Attempt{Done: x.done(), x: x}
 	a.settle(false, err)
 	return a
 }
