--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,7 @@
 	deadSilence  = 800 * time.Millisecond
 	refDecay     = 60 * time.Second // how slowly a tier's remembered weight follows a shrinking list
 	loadTau      = 2 * time.Second  // memory of a tier's load signal
-	loadLow      = 0.2              // share of the slack used by waiting at which load is moved or shed
+	loadLow      = 0.3              // share of the slack used by waiting at which load is moved or shed
 	loadSpan     = 0.8              // and the further share at which all of it is
 	loadReset    = 4 * time.Second  // time in which the lasting pressure can go from none to all, or back
 	unfeltMost   = 3                // requests shed with no attempt felt between, taken on trust
@@ -167,14 +167,14 @@
 	if first == nil || r.class.Effect == Safe {
 		return true
 	}
-	if r.class.Effect == Unsafe || b.now >= first.sent+r.class.Window {
+	if r.class.Effect == Unsafe || b.now+b.c.ConnectTime >= first.sent+r.class.Window {
 		return false
 	}
 	switch r.class.Group {
 	case GroupZone:
-		return s.Zone == first.s.Zone
+		return s.Zone == first.at.Zone
 	case GroupCell:
-		return s.Cell == first.s.Cell
+		return s.Cell == first.at.Cell
 	}
 	return true
 }
@@ -448,9 +448,9 @@
 func (b *Balancer) pick(r *request) *server {
 	if first := r.first(); first != nil && r.class.Effect == Keyed && r.class.Group != GroupAll {
 		if r.class.Group == GroupCell {
-			return b.draw(b.cells[first.s.Cell], r, true)
+			return b.draw(b.cells[first.at.Cell], r, true)
 		}
-		return b.draw(b.zones[first.s.Zone], r, true)
+		return b.draw(b.zones[first.at.Zone], r, true)
 	}
 	for i := range b.tiers { // before any draw: a tier that no draw reaches must come back too
 		if s := b.trial(&b.tiers[i], r); s != nil {
@@ -616,7 +616,7 @@
 	if s.tier.since == 0 {
 		s.tier.since = b.now // silence counts from the first attempt
 	}
-	r.tries = append(r.tries, attempt{s: s, started: s.Started, sent: b.now, open: true})
+	r.tries = append(r.tries, attempt{s: s, at: s.Server, sent: b.now, open: true})
 	r.out++
 	b.out++
 	s.out++
@@ -675,7 +675,7 @@
 		return
 	}
 	if b.c.Limits.SecondCopies {
-		if s := b.pick(r); s != nil {
+		if s := b.pick(r); s != nil && (t.s.strikes > 0 || t.s.overdue > 1) {
 			b.tokens--
 			b.send(r, s)
 		}
@@ -700,7 +700,7 @@
 		s.overdue--
 	}
 	t.ran = e.Status != Full && e.Status != ConnectFailed && e.Status != Moot
-	if t.started == s.Started && s.State != Gone { // else the process that it tells of is no more
+	if t.at.Started == s.Started && s.State != Gone { // else the process that it tells of is no more
 		b.judge(r, t, e)
 	}
 	if e.Done || r.over {
--- a/decide/state.go
+++ b/decide/state.go
@@ -75,7 +75,7 @@
 
 type attempt struct {
 	s       *server
-	started time.Duration // of the server's process then
+	at      Server // as it was listed then
 	sent    time.Duration
 	open    bool
 	ran     bool // closed, and it may have run
