--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,9 +47,10 @@
 	outlierSlow  = 2.0              // a server this many times slower than the others is an outlier
 	outlierFelt  = 0.5              // and adds no more than this to the load signal
 	shareOdds    = 20.0             // requests that a tenant's fair part is taken on trust for
-	spillLeast   = 0.15             // difference in pressure under which nothing spills: noise of few samples
+	spillLeast   = 0.3              // difference in pressure under which nothing spills: noise of few samples
 	leanLeast    = 0.1              // difference in waiting under which no further share leaves the own zone
 	leanTime     = 3 * time.Second  // time in which a difference of the whole slack moves all
+	leanFade     = 20 * time.Second // in which the share falls to a third where no difference is felt
 	leanStep     = 500 * time.Millisecond
 	leanMost     = 0.9
 	spillGain    = 0.5 // part of a request's worth that a crossing must not cost more than
@@ -58,6 +59,7 @@
 	coldMost     = 1.5 // and at most
 	outPower     = 8.0 // a server is drawn this steeply less with own attempts out there
 	fastest      = 0.2 // latency against the rest below which a server is not preferred further
+	yieldFrom    = 0.3 // pressure of both tiers from which a call past its aim makes room for others
 	holdStep     = 50 * time.Millisecond
 	watchSlot    = 60 * time.Millisecond // first subscription calls are spread over this for each sidecar
 	watchBackoff = time.Second           // doubled at each failure up to
@@ -237,7 +239,7 @@
 	}
 	if b.mayRefuse(r) {
 		wait := time.Duration(0)
-		if b.late(r) {
+		if b.late(r) || b.now >= r.aim {
 			wait = b.c.Limits.MaxRetryAfter
 		}
 		b.act(Action{Kind: Refuse, ID: r.id, Wait: wait})
@@ -533,6 +535,7 @@
 	step := min(b.now-b.leanAt, leanStep)
 	b.leanAt = b.now
 	gap := b.felt(&b.tiers[0]) - b.felt(&b.tiers[1]) - leanLeast
+	b.away *= math.Exp(-float64(step) / float64(leanFade))
 	b.away = min(max(b.away+gap*step.Seconds()/leanTime.Seconds(), 0), leanMost)
 }
 
@@ -640,20 +643,18 @@
 
 func (b *Balancer) timer(token uint64) {
 	id := token & tokID
-	switch token >> tokKind {
-	case tokOverdue:
-		if r := b.requests[id]; r != nil {
-			b.overdueAt(r, int(token>>tokTry&0xff))
-		}
-	case tokHold:
-		if r := b.requests[id]; r != nil && r.out == 0 && !r.over {
-			b.dispatch(r)
-		}
-	case tokServer:
-		if s := b.servers[ServerID(id)]; s != nil && s.in == &s.tier.bad && b.now >= s.until {
-			b.readmit(s)
-		}
-	case tokWatch:
+	r, s := b.requests[id], b.servers[ServerID(id)]
+	switch kind := token >> tokKind; {
+	case kind == tokOverdue && r != nil:
+		b.overdueAt(r, int(token>>tokTry&0xff))
+	case kind == tokHold && r != nil && r.out == 0 && !r.over:
+		b.dispatch(r)
+	case kind == tokAim && r != nil && r.out > 0 &&
+		min(b.pressure(&b.tiers[0]), b.pressure(&b.tiers[1])) > yieldFrom:
+		b.answer(r) // what it would still earn is less than a call earns that takes its place
+	case kind == tokServer && s != nil && s.in == &s.tier.bad && b.now >= s.until:
+		b.readmit(s)
+	case kind == tokWatch:
 		b.act(Action{Kind: Watch, On: true})
 	}
 }
@@ -665,6 +666,7 @@
 		return
 	}
 	t := &r.tries[i]
+	b.wake(r.aim-b.now, tokAim, 0, r.id)
 	t.overdue = true
 	t.s.overdue++
 	b.miss(t.s)
--- a/decide/state.go
+++ b/decide/state.go
@@ -14,6 +14,7 @@
 	tokHold
 	tokServer
 	tokWatch
+	tokAim
 	tokKind = 60
 	tokTry  = 52
 	tokID   = 1<<tokTry - 1
