--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,7 +59,6 @@
 	coldMost     = 1.5 // and at most
 	outPower     = 8.0 // a server is drawn this steeply less with own attempts out there
 	fastest      = 0.2 // latency against the rest below which a server is not preferred further
-	yieldFrom    = 0.3 // pressure of both tiers from which a call past its aim makes room for others
 	holdStep     = 50 * time.Millisecond
 	watchSlot    = 60 * time.Millisecond // first subscription calls are spread over this for each sidecar
 	watchBackoff = time.Second           // doubled at each failure up to
@@ -239,7 +238,7 @@
 	}
 	if b.mayRefuse(r) {
 		wait := time.Duration(0)
-		if b.late(r) || b.now >= r.aim {
+		if b.late(r) {
 			wait = b.c.Limits.MaxRetryAfter
 		}
 		b.act(Action{Kind: Refuse, ID: r.id, Wait: wait})
@@ -649,9 +648,6 @@
 		b.overdueAt(r, int(token>>tokTry&0xff))
 	case kind == tokHold && r != nil && r.out == 0 && !r.over:
 		b.dispatch(r)
-	case kind == tokAim && r != nil && r.out > 0 &&
-		min(b.pressure(&b.tiers[0]), b.pressure(&b.tiers[1])) > yieldFrom:
-		b.answer(r) // what it would still earn is less than a call earns that takes its place
 	case kind == tokServer && s != nil && s.in == &s.tier.bad && b.now >= s.until:
 		b.readmit(s)
 	case kind == tokWatch:
@@ -666,7 +662,6 @@
 		return
 	}
 	t := &r.tries[i]
-	b.wake(r.aim-b.now, tokAim, 0, r.id)
 	t.overdue = true
 	t.s.overdue++
 	b.miss(t.s)
--- a/decide/state.go
+++ b/decide/state.go
@@ -14,7 +14,6 @@
 	tokHold
 	tokServer
 	tokWatch
-	tokAim
 	tokKind = 60
 	tokTry  = 52
 	tokID   = 1<<tokTry - 1
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -97,7 +97,11 @@
 		"not told, not long ago": {[]Event{listedAt(0, 0, 0), asked(6*time.Second, safe), arrived(6700*milli, safe, 1, 0), closed(6701*milli, 1), answered(6702*milli, safe, 502)}, ""},
 		"counts as told":         {[]Event{listedAt(0, 0, 0), asked(6*time.Second, safe), arrived(6900*milli, safe, 1, 0), closed(6901*milli, 1), answered(6902*milli, safe, 502)}, "the list said"},
 
-		"pushed over, known":        {[]Event{{Kind: Told, Worker: 1, State: 2, Started: 5}, {At: 10, Kind: Fell, Worker: 1, Started: 5, From: map[int]float64{0: 2}}}, "pushed over"},
+		"pushed over, known": {[]Event{{Kind: Told, Worker: 1, State: 2, Started: 5}, {At: 10, Kind: Fell, Worker: 1, Started: 5, From: map[int]float64{0: 2}}}, "pushed over"},
+		"pushed over, mostly sent before it was told": {[]Event{asked(1, safe), arrived(100*milli, safe, 1, 1), closed(101*milli, 1),
+			arrived(200*milli, safe, 2, 1), closed(201*milli, 2), {At: 300 * milli, Kind: Told, Worker: 1, State: 2, Started: 5},
+			arrived(400*milli, safe, 3, 1), closed(401*milli, 3), answered(402*milli, safe, 502),
+			{At: 410 * milli, Kind: Fell, Worker: 1, Started: 5, From: map[int]float64{0: 2}}}, ""},
 		"pushed over, never listed": {[]Event{{At: 10 * time.Second, Kind: Fell, Worker: 1, Started: 9, From: map[int]float64{0: 2}}}, ""},
 		"pushed over, unknown":      {[]Event{{At: 1, Kind: Listed, Worker: 1, State: 2, Started: 5}, {At: 10, Kind: Fell, Worker: 1, Started: 5, From: map[int]float64{0: 2}}}, ""},
 	} {
--- a/internal/lab/stage/stage.go
+++ b/internal/lab/stage/stage.go
@@ -78,7 +78,7 @@
 	tries sync.Map // trace id to *try
 
 	memory   sync.Mutex
-	dedups   map[[2]int]*world.Dedup // by class and hall
+	dedups   map[[2]int]*world.Dedup // by class and group
 	failures []error
 }
 
@@ -134,22 +134,24 @@
 	return nil
 }
 
-// dedup tells whether a keyed call is new to its hall.
-func (s *stage) dedup(class, hall int, key string) bool {
+// dedup tells whether a keyed call is new to a worker's group.
+func (s *stage) dedup(class, worker int, key string) bool {
+	group := s.plan.Group(class, worker)
 	s.memory.Lock()
 	defer s.memory.Unlock()
-	d := s.dedups[[2]int{class, hall}]
+	d := s.dedups[[2]int{class, group}]
 	if d == nil {
 		d = world.NewDedup(s.plan.Classes[class].Window)
-		s.dedups[[2]int{class, hall}] = d
+		s.dedups[[2]int{class, group}] = d
 	}
 	return d.First(s.now(), key)
 }
 
-func (s *stage) undedup(class, hall int, key string) {
+func (s *stage) undedup(class, worker int, key string) {
+	group := s.plan.Group(class, worker)
 	s.memory.Lock()
 	defer s.memory.Unlock()
-	s.dedups[[2]int{class, hall}].Forget(key)
+	s.dedups[[2]int{class, group}].Forget(key)
 }
 
 func (s *stage) ended() bool {
@@ -371,6 +373,7 @@
 	f := judge.Fleet{Scenario: s.plan.Scenario, Until: until}
 	for _, w := range s.plan.Fleet {
 		f.Worker = append(f.Worker, w.Hall)
+		f.Cell = append(f.Cell, w.Cell)
 	}
 	for _, c := range s.plan.Sidecar {
 		f.Sidecar = append(f.Sidecar, c.Hall)
--- a/internal/lab/world/plan.go
+++ b/internal/lab/world/plan.go
@@ -81,7 +81,32 @@
 
 func (p *Plan) spec(rnd *rand.Rand, n, hall, kind int) Spec {
 	k := p.Kinds[kind]
-	return Spec{Name: fmt.Sprintf("w%03d", n), Hall: hall, Kind: kind, Speed: k.Speed * lognormal(rnd, k.SpeedCV)}
+	return Spec{Name: fmt.Sprintf("w%03d", n), Hall: hall, Cell: p.cell(hall), Kind: kind, Speed: k.Speed * lognormal(rnd, k.SpeedCV)}
+}
+
+// cellsOfHall is more than a hall ever has.
+const cellsOfHall = 100_000
+
+// cell is the cell of the next worker of a hall.
+func (p *Plan) cell(hall int) int {
+	n := 0
+	for _, w := range p.Fleet {
+		if w.Hall == hall {
+			n++
+		}
+	}
+	return hall*cellsOfHall + n/max(p.Cell, 1)
+}
+
+// Group is the group of workers, among all of a class's, that share with a worker which keys they have seen.
+func (p *Plan) Group(class, worker int) int {
+	switch p.Classes[class].Group {
+	case "all":
+		return 0
+	case "cell":
+		return p.Fleet[worker].Cell
+	}
+	return p.Fleet[worker].Hall
 }
 
 func weights[T any](list []T, of func(T) float64) (out []float64) {
@@ -231,7 +256,9 @@
 		}
 		if f.Kind == "replace" {
 			for _, old := range begin.Workers {
-				p.Fleet = append(p.Fleet, p.spec(rnd, len(p.Fleet), p.Fleet[old].Hall, p.Fleet[old].Kind))
+				next := p.spec(rnd, len(p.Fleet), p.Fleet[old].Hall, p.Fleet[old].Kind)
+				next.Cell = p.Fleet[old].Cell // it takes over the address, and who sends there has not heard of it yet
+				p.Fleet = append(p.Fleet, next)
 			}
 		}
 		p.Steps = append(p.Steps, begin)
--- a/internal/lab/world/worker.go
+++ b/internal/lab/world/worker.go
@@ -32,6 +32,7 @@
 type Spec struct {
 	Name  string
 	Hall  int
+	Cell  int // of the whole fleet's; each lies in one hall
 	Kind  int
 	Speed float64 // of a core, standard 1
 }
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -46,8 +46,7 @@
 	case on && r.subscription == nil:
 		s := r.subscribe()
 		go func() {
-			registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
-			if err := r.follow(s, registry, watchPace); err != nil {
+			if err := r.follow(s); err != nil {
 				r.listFailed(s.source, "watch", err)
 			}
 		}()
@@ -77,11 +76,12 @@
 
 // follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a call
 // fails. It returns that failure, and nil where the watch was ended from here.
-func (r *Router) follow(s *subscription, registry *protocol.Registry, pace time.Duration) error {
+func (r *Router) follow(s *subscription) error {
 	defer s.cancel()
+	registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
 	defer registry.Close()
 	for {
-		next := time.After(pace)
+		next := time.After(watchPace)
 		var list *protocol.List
 		var err error
 		kind := decide.ListDelta
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -114,6 +114,9 @@
 			x.Net.Split = 0
 		}
 	}
+	if other := rand.New(rand.NewPCG(seed, 0x52)); other.IntN(2) == 0 {
+		drawDeployment(other, s)
+	}
 	if rnd.IntN(3) == 0 {
 		for range 1 + rnd.IntN(3) { // within what the judge allows for: nobody can answer while nothing works
 			x.Stalls = append(x.Stalls, Jump{moment(rnd), time.Duration(1+rnd.IntN(30)) * time.Millisecond})
@@ -133,6 +136,24 @@
 	return x
 }
 
+// drawDeployment draws what another deployment has otherwise: lists that are pushed, second copies, keys remembered in
+// cells or by all, work that stops when it is cancelled, dear connections that are kept for long, a short grace on drains.
+func drawDeployment(rnd *rand.Rand, s *scenario.Scenario) {
+	s.Registry.Pushed = rnd.IntN(4) > 0
+	s.Rules.Copies = rnd.IntN(4) > 0
+	s.Cell = 2 + rnd.IntN(3)
+	s.Classes[2].Group = []string{"cell", "cell", "all", "zone"}[rnd.IntN(4)]
+	s.Classes[2].Window = time.Duration(1+rnd.IntN(30)) * time.Second
+	if rnd.IntN(2) == 0 {
+		for i := range s.Kinds {
+			s.Kinds[i].Cancel = "stop"
+		}
+		s.Conn.Handshake = time.Duration(800+rnd.IntN(3200)) * time.Microsecond
+		s.Conn.Idle, s.Conn.Connect = 30*time.Second, 200*time.Millisecond
+		s.Rules.DrainGrace = 250 * time.Millisecond
+	}
+}
+
 func moment(rnd *rand.Rand) time.Duration {
 	return time.Duration(200+rnd.IntN(int(drawnLength/time.Millisecond)-700)) * time.Millisecond
 }
