--- a/internal/program/deployment_test.go
+++ b/internal/program/deployment_test.go
@@ -97,6 +97,16 @@
 			w1 expect GET /availability/x id=t1 at=1
 			w1 send 200 ok
 			a expect 200 ok`},
+		// Workers that report nothing, of which one sends a report all the same: calls pass, and nothing is made of it.
+		"no reports": {set: `"columns":["util","eps","queue"],"via":"pull"=>"columns":[],"via":"silent"`, known: "0=up", script: `
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1
+			w1 send "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT util=0.9\r\nContent-Length: 2\r\n\r\nok"
+			a expect 200 ok
+			a send GET /availability/y id=t2 expires=2000m
+			w1 expect GET /availability/y id=t2
+			w1 send 200 ok
+			a expect 200 ok`},
 		// A second copy goes out beside the first; the first whole answer is the call's, the other is called off.
 		"second copy answers": {set: copies, known: "0=up", script: copied + `
 			w3 send 200 two
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -42,6 +42,7 @@
 	end     time.Time // of the attempt's or the call's time
 	expired bool      // given up for that
 	fresh   bool      // went over a connection opened for it
+	whole   bool      // its answer has been read whole
 }
 
 // maxTries bounds a mailbox where a deployment allows attempts without end, and the copies that are out together.
@@ -110,7 +111,7 @@
 			at := slices.IndexFunc(out, func(d *delegation) bool { return d.try == result.Tag })
 			d := out[at]
 			out = slices.Delete(out, at, at+1)
-			d.fresh = result.Sent && !result.Kept
+			d.fresh, d.whole = result.Sent && !result.Kept, result.Err == nil
 			status := d.status(result, left == nil)
 			if status == decide.OK && final == nil {
 				final = &protocol.Answer{Verdict: protocol.Served, Reply: d.Reply}
@@ -210,7 +211,10 @@
 func (t *task) outcome(d *delegation, status decide.Status, over bool) decide.Event {
 	e := decide.Event{Kind: decide.Outcome, ID: t.id, Attempt: d.try, Server: d.worker, Status: status, Done: over}
 	if d.Reply != nil && status != decide.Moot {
-		e.Latency, e.Load = time.Since(d.begun), d.Reply.Load
+		e.Latency = time.Since(d.begun)
+	}
+	if d.whole { // of one that was called off, its connection's goroutine may still be reading the answer
+		e.Load = d.Reply.Load
 	}
 	e.Fresh = d.fresh
 	return e
