--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -83,7 +83,7 @@
 			case a.Kind == decide.Send && len(out) < copies && final == nil:
 				d := r.delegate(t, a, results)
 				out = append(out, d)
-				if a.Timeout != 0 {
+				if a.Timeout != 0 || !d.begun.Before(d.end) { // else the call's own end, which it is set to
 					timeout.Reset(time.Until(earliest(out)))
 				}
 			case a.Kind == decide.Send: // no copy beside another where that is not allowed, nor anything after the answer
