--- a/internal/program/deployment_test.go
+++ b/internal/program/deployment_test.go
@@ -4,6 +4,11 @@
 
 // What another deployment's settings ask for: lists that an agent pushes, and second copies.
 func TestDeployments(t *testing.T) {
+	const second = `
+			a send GET /availability/x id=t1 expires=2000m
+			w1 expect GET /availability/x id=t1 at=1
+			w1 send 200 ok
+			a expect 200 ok`
 	for name, s := range map[string]scenario{
 		// The sidecar keeps the watch by itself, from the whole list on; what is told is heeded at once.
 		"pushed": {set: pushed, script: `
@@ -12,11 +17,7 @@
 			registry expect GET /catalog/members?since=1&timeout_ms=250
 			registry serves 2 0=draining
 			registry send 2 0=draining
-			log expect generation=2
-			a send GET /availability/x id=t1 expires=2000m
-			w1 expect GET /availability/x id=t1 at=1
-			w1 send 200 ok
-			a expect 200 ok`},
+			log expect generation=2` + second},
 		// An agent that says nothing is asked again beside the call that waits, and that is logged; its first word
 		// counts, to whichever call it comes.
 		"pushed, silent for long": {set: pushed, known: "0=up", script: `
@@ -24,11 +25,7 @@
 			registry expect GET /catalog/members
 			log expect event=registry_failed
 			registry serves 7 reset 1=up
-			log expect generation=7
-			a send GET /availability/x id=t1 expires=2000m
-			w1 expect GET /availability/x id=t1 at=1
-			w1 send 200 ok
-			a expect 200 ok`},
+			log expect generation=7` + second},
 		// One that breaks off at each call, then answers garbage: the old list stays in force, and it is asked on.
 		"pushed, resets and garbage": {set: pushed, known: "0=up", script: `
 			registry expect GET /catalog/members
@@ -60,6 +57,16 @@
 			w2 expect GET /availability/x id=t2 at=1
 			w2 send 200 ok
 			b expect 200 ok`},
+		// The same without a break: changes that count from below are no changes to the list at hand.
+		"pushed, counts anew without a word": {set: pushed, known: "0=up", script: `
+			registry expect GET /catalog/members
+			registry send 9 reset 0=up
+			registry expect GET /catalog/members?since=9&timeout_ms=250
+			registry send 3 1=up
+			registry expect GET /catalog/members
+			registry serves 3 reset 1=up
+			registry send 3 reset 1=up
+			log expect generation=3` + second},
 		// A list that shrinks to nothing is believed: nobody is left to send to, and it is refused at the end of what
 		// could still be earned.
 		"pushed, nobody left": {set: pushed, script: `
@@ -77,11 +84,7 @@
 			file send next
 			sidecar send HUP
 			registry wait
-			log expect generation=0
-			a send GET /availability/x id=t1 expires=2000m
-			w1 expect GET /availability/x id=t1 at=1
-			w1 send 200 ok
-			a expect 200 ok`},
+			log expect generation=0` + second},
 		// A reload whose file says that lists are asked for now, where they were pushed: that takes a restart, and says
 		// so; the registry moves, and is followed as before.
 		"pushed, reload to asked": {set: pushed, known: "0=up", script: `
@@ -92,11 +95,7 @@
 			file send asked
 			sidecar send HUP
 			log expect needs_restart=settings
-			log expect generation=1
-			a send GET /availability/x id=t1 expires=2000m
-			w1 expect GET /availability/x id=t1 at=1
-			w1 send 200 ok
-			a expect 200 ok`},
+			log expect generation=1` + second},
 		// Workers that report nothing, of which one sends a report all the same: calls pass, and nothing is made of it.
 		"no reports": {set: `"columns":["util","eps","queue"],"via":"pull"=>"columns":[],"via":"silent"`, known: "0=up", script: `
 			a send GET /availability/x id=t1 expires=2000m
@@ -156,21 +155,22 @@
 			w3 send 200 two
 			a expect 200 two
 			w2 wait`},
-		// A booking is never copied, whatever the settings allow: one attempt has gone out.
-		"no copy of an unsafe call": {set: copies, script: `
-			a send POST /booking/x id=t1 expires=900m body=b
-			w1 expect POST /booking/x id=t1 body=b
+		// A booking is never copied, whatever speaks against its worker: two attempts have gone out for two calls.
+		"no copy of an unsafe call": {set: copies, known: "0=up", script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=10000
+			z send POST /booking/z id=t0 expires=6000m body=b
+			w1 expect POST /booking/z id=t0 body=b
+			a send POST /booking/x id=t1 expires=1500m body=b
+			w2 expect POST /booking/x id=t1 body=b
+			registry send 2 0=up 1=up
 			a expect 504
 			operator send STATS
-			operator expect {"success":{"availability":0,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":1,"paid-extra":0},"backend_calls":1,"inflight":0,"hosts_listed":2,"hosts_down":0,"list_age_ms":T} | --`},
-		// Where copies are not allowed the same silence leads to none: the first is closed before another goes out.
-		"copies off": {script: `
-			a send GET /availability/x id=t1 expires=700m
-			w1 expect GET /availability/x id=t1
-			a expect 503 after=1.5
-			w1 wait
-			b send GET /availability/y id=t2 expires=3000m
-			w2 expect GET /availability/y id=t2`},
+			operator expect {"success":{"availability":0,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":1,"paid-extra":0},"backend_calls":2,"inflight":1,"hosts_listed":2,"hosts_down":0,"list_age_ms":T} | --`},
+		// Where copies are not allowed the first delegation's connection is closed before another goes out.
+		"copies off": {set: `"aim_us":600000=>"aim_us":3000000`, known: "0=up", script: copied + `
+			w2 wait
+			w3 send 200 two
+			a expect 200 two`},
 	} {
 		t.Run(name, func(t *testing.T) { t.Parallel(); play(t, s) })
 	}
--- a/internal/routing/feed.go
+++ b/internal/routing/feed.go
@@ -44,8 +44,11 @@
 				r.mu.Unlock()
 				kind = decide.ListFull
 			}
+			r.mu.Lock()
+			older := !a.whole && !a.list.Reset && a.list.Generation < r.generation
+			r.mu.Unlock()
 			r.learn(s.source, a.list, kind)
-			whole = false
+			whole = older // it counts anew without a word: changes to a list that is not the one at hand
 			rest(s.ctx, feedPace)
 		}
 		f.close()
