--- a/internal/sim/mutant.go
+++ b/internal/sim/mutant.go
@@ -72,7 +72,7 @@
 		one("still-unasked", "nobody asks again before writing", "internal/routing/call.go",
 			"func() bool { return !t.gone.Load() && r.still(w) }", "func() bool { return true }"),
 		one("watch-not-renewed", "where lists are pushed the first answer is the last that is heard", "internal/routing/feed.go",
-			"			whole = false\n", "			return\n"),
+			"			whole = older //", "			_ = older\n			return //"),
 		{"unsafe-copied", "a second copy of a call that must not run twice goes out", []Edit{
 			{"decide/decide.go", "len(r.tries) >= b.c.Limits.MaxAttempts || r.class.Effect == Unsafe {", "len(r.tries) >= b.c.Limits.MaxAttempts {"},
 			{"decide/decide.go", "b.repeatable(r, s) && (b.share(s)", "(b.share(s)"}}},
