--- a/decide/api.go
+++ b/decide/api.go
@@ -181,7 +181,7 @@
 // The events.
 const (
 	Members EventKind = iota + 1 // List, Servers, Version
-	Request                      // ID, Key, Class, Tenant, Budget, Work, Repeat, Write
+	Request                      // ID, Key, Class, Tenant, Budget, Work, Repeat, Write, Long
 	First                        // ID, Attempt, Server, Latency: a streamed answer has begun
 	Outcome                      // ID, Attempt, Server, Status, Latency, Done, Load, Fresh
 	Left                         // ID: the client gave up, the request is over
@@ -199,6 +199,7 @@
 	Repeat  bool // the client says that this is a further try
 	Fresh   bool // a connection was opened for it
 	Write   bool
+	Long    bool // its message is still being sent when an attempt begins, for nobody knows how long
 	Class   int
 	Tenant  int
 	Attempt int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -570,7 +570,7 @@
 	k := &b.classes[e.Class]
 	aim := k.Aim + time.Duration(k.AimStretch*float64(e.Work))
 	r := &request{id: e.ID, class: k, start: b.now, end: b.now + e.Budget, aim: b.now + min(aim, e.Budget),
-		tenant: min(max(e.Tenant, 0), len(b.usage)-1), tries: make([]attempt, 0, 2)}
+		tenant: min(max(e.Tenant, 0), len(b.usage)-1), long: e.Long, tries: make([]attempt, 0, 2)}
 	b.requests[e.ID] = r
 	b.tokens = min(retryBurst, b.tokens+retryShare)
 	b.earn()
@@ -625,7 +625,9 @@
 	if b.share(s) < 1 {
 		s.credit--
 	}
-	b.wake(b.patience(r), tokOverdue, len(r.tries)-1, r.id)
+	if !r.long {
+		b.wake(b.patience(r), tokOverdue, len(r.tries)-1, r.id)
+	}
 }
 
 // patience is how long an attempt may take before it is overdue: against learned latency, and early enough
--- a/decide/state.go
+++ b/decide/state.go
@@ -92,6 +92,7 @@
 	out      int
 	over     bool
 	resend   bool // an attempt was cancelled to try elsewhere
+	long     bool // nobody can tell when an attempt of it is overdue
 }
 
 // heard notes an answer from a tier.
--- a/internal/lab/stage/worker.go
+++ b/internal/lab/stage/worker.go
@@ -422,8 +422,7 @@
 		c.end(true)
 		return
 	case h.met("overlong"):
-		h.write(x, 200, "", body+strings.Repeat("x", 100<<10))
-		return
+		body += strings.Repeat("x", 100<<10) // longer than a sidecar holds: it passes as it comes
 	case h.met("surplus"):
 		h.observe(judge.Event{Kind: judge.Ran, Serial: x.serial, Body: hash(body)})
 		good := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
--- /dev/null
+++ b/internal/program/streaming_test.go
@@ -0,0 +1,146 @@
+package program
+
+import "testing"
+
+// Messages longer than the sidecar holds pass as they come, in both directions.
+func TestLongMessages(t *testing.T) {
+	const (
+		post   = `POST /booking/x HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t1\r\nX-Expires-In: 3000m\r\n`
+		upload = `"` + post + `Content-Length: 100000\r\n\r\n<20000>"`
+		begun  = `
+			a send ` + upload + `
+			w1 expect begins POST /booking/x`
+		other = ` 
+			b send GET /availability/y id=t9 expires=3000m
+			w2 expect GET /availability/y id=t9
+			w2 send 200 ok
+			b expect 200 ok`
+		get = `
+			a send GET /availability/x id=t1 expires=3000m
+			w1 expect GET /availability/x id=t1`
+	)
+	for name, s := range map[string]scenario{
+		// The client has its first bytes while the worker still sends; the same connections serve the next call.
+		"answer": {script: get + `
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n<10>"
+			a expect begins 200
+			w1 send "<299990+10>"
+			a expect 200 <300000>
+			a send GET /availability/x id=t2 expires=3000m
+			w1 expect GET /availability/x id=t2
+			w1 send 200 ok
+			a expect 200 ok`},
+		"answer in chunks": {script: get + `
+			w1 send "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4e20;x=y\r\n<20000>\r\n"
+			a expect begins 200
+			w1 send "1"
+			w1 send "1170\r\n<70000+20000>"
+			w1 send "\r\n0\r\nTrailer: x\r\n\r\n"
+			a expect 200 <90000>
+			a send GET /availability/x id=t2 expires=3000m
+			w1 expect GET /availability/x id=t2
+			w1 send 200 ok
+			a expect 200 ok`},
+		// The end of the connection is the end of an answer that says so.
+		"answer up to the connection's end": {script: get + `
+			w1 send "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n<40000>"
+			a expect begins 200
+			w1 send "<30000+40000>"
+			w1 close
+			a expect 200 <70000>` + other},
+		"short answer up to the connection's end": {script: get + `
+			w1 send "HTTP/1.0 200 OK\r\n\r\nshort"
+			w1 close
+			a expect 200 short`},
+		// Whoever began to pass an answer on cannot take it back: the client sees that it is not whole.
+		"answer breaks off": {script: get + `
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n<100000>"
+			a expect begins 200
+			w1 close
+			a wait` + other},
+		"chunks break off": {script: get + `
+			w1 send "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4e20\r\n<20000>\r\nzz\r\n"
+			a expect begins 200
+			a wait` + other},
+		"client leaves amid an answer": {script: get + `
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n<100000>"
+			a expect begins 200
+			a close
+			w1 send "<1000000>"
+			w1 wait` + other},
+		// The worker has the beginning while the client still sends.
+		"body": {script: begun + `
+			a send "<80000+20000>"
+			w1 expect POST /booking/x id=t1 body=<100000>
+			w1 send 200 ok
+			a expect 200 ok
+			a send GET /availability/x id=t2 expires=3000m
+			w1 expect GET /availability/x id=t2
+			w1 send 200 ok
+			a expect 200 ok`},
+		"body in chunks": {script: `
+			a send "` + post + `Transfer-Encoding: chunked\r\n\r\n11170;x\r\n<70000>\r\n"
+			w1 expect begins POST /booking/x
+			a send "3"
+			a send "\r\nabc\r\n0\r\nT: x\r\n\r\n"
+			w1 expect POST /booking/x id=t1 body=70003 other bytes
+			w1 send 200 ok
+			a expect 200 ok`},
+		// A chunked body that ends with the last byte that is held is whole.
+		"chunks up to the bound": {script: `
+			a send "` + post + `Transfer-Encoding: chunked\r\n\r\n10000\r\n<65536>\r\n0\r\n\r\n"
+			w1 expect POST /booking/x id=t1 body=<65536>
+			w1 send 200 ok
+			a expect 200 ok`},
+		// What has been passed on is held nowhere: nobody else gets the call. It never ran, so the client may try again.
+		"worker dies amid a body": {script: begun + `
+			w1 close
+			a send "<80000+20000>"
+			a expect 503 close` + other},
+		"worker turns a body away": {script: begun + `
+			w1 send "HTTP/1.1 503 No\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+			a send "<40000+20000>"
+			a send "<40000+60000>"
+			a expect 503 close` + other},
+		// After the last byte it may have run, and a booking is not tried again.
+		"worker dies after a body": {script: begun + `
+			a send "<80000+20000>"
+			w1 expect POST /booking/x id=t1 body=<100000>
+			w1 close
+			a expect 502` + other},
+		"client leaves at the last byte": {script: begun + `
+			a send "<79999+20000>"
+			a close
+			w1 wait` + other},
+		"client stalls": {script: begun + `
+			a expect 408 close
+			w1 wait` + other},
+		"planned end amid a body": {script: begun + `
+			sidecar send TERM
+			a send "<80000+20000>"
+			w1 expect POST /booking/x id=t1 body=<100000>
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n<10>"
+			a expect begins 200
+			w1 send "<299990+10>"
+			a expect 200 close <300000>
+			sidecar wait`},
+		"drain amid a body": {script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=10000` + begun + `
+			registry send 2 0=draining 1=draining
+			log expect generation=2
+			a send "<80000+20000>"
+			w1 expect POST /booking/x id=t1 body=<100000>
+			w1 send 200 ok
+			a expect 200 ok`},
+		// A body of 32 MiB and an answer of the same length.
+		"largest": {script: `
+			a send "` + post + `Content-Length: 33554432\r\n\r\n<33554432>"
+			w1 expect begins POST /booking/x
+			w1 expect POST /booking/x id=t1 body=<33554432>
+			w1 send "HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n<33554432>"
+			a expect begins 200
+			a expect 200 <33554432>`},
+	} {
+		t.Run(name, func(t *testing.T) { t.Parallel(); play(t, s) })
+	}
+}
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"io"
 	"log/slog"
 	"net"
 	"strconv"
@@ -35,9 +36,9 @@
 const (
 	healthPath   = "/_health"
 	silentTime   = 2 * time.Second         // a new connection's time for its first byte
-	readTime     = 2500 * time.Millisecond // for one call, the first one counted from its connection's begin
+	readTime     = 2500 * time.Millisecond // for one call's head, the first one counted from its connection's begin
 	idleTime     = 5 * time.Second         // a client's connection between two calls
-	writeTime    = 2 * time.Second         // for one answer: the client is on this machine and wants it
+	writeTime    = 2 * time.Second         // for one short answer: the client is on this machine and wants it
 	answerMargin = 10 * time.Millisecond   // for the way of an answer back to its client
 	maxExpires   = time.Hour               // a longer wait is held to be garbage
 )
@@ -119,6 +120,7 @@
 	r       *bufio.Reader
 	head    head
 	body    []byte
+	upload  *upload   // the rest of the body of the call at hand, nil where that is whole
 	started time.Time // of the call's first byte
 	asked   bool      // there has been a call before
 	closing bool      // no further call on this connection
@@ -213,11 +215,10 @@
 			return nil, err
 		}
 	}
-	var err error
-	if c.body, err = readBody(c.r, h, c.body[:0]); err != nil {
+	if err := c.window(); err != nil {
 		return nil, err
 	}
-	c.closing = h.closing || version[7] == '0' || c.steering()
+	c.closing = c.last() || c.upload != nil
 	path, _, _ := bytes.Cut(h.start[1], []byte("?"))
 	if string(path) == healthPath {
 		return nil, nil
@@ -225,6 +226,36 @@
 	return c.call(path)
 }
 
+// last tells that the client's connection ends with the call at hand.
+func (c *client) last() bool { return c.head.closing || c.head.start[2][7] == '0' || c.steering() }
+
+// window reads a body that is short, or the beginning of a long one.
+func (c *client) window() (err error) {
+	body := c.head.body(c.r, false, MaxBody)
+	c.upload, c.body = nil, c.body[:0]
+	if body.over {
+		return nil
+	}
+	most := maxHeld
+	if c.head.length > maxHeld {
+		most = maxWindow
+	}
+	begun := time.Now()
+	c.SetReadDeadline(begun.Add(bodyLimit(int64(most))))
+	if c.body, err = body.upTo(c.body, most); err != nil {
+		return err
+	}
+	if !body.over && body.chunked && body.left == 0 { // it may end just here
+		if err := body.nextChunk(); err != nil && err != io.EOF {
+			return err
+		}
+	}
+	if !body.over {
+		c.upload = newUpload(body, c.Conn, time.Since(begun), int64(len(c.body)), 0)
+	}
+	return nil
+}
+
 // call makes the protocol-neutral call of what has been read.
 func (c *client) call(path []byte) (*Call, error) {
 	for _, name := range []string{headerClass, headerTrace, headerExpires, headerKey} {
@@ -252,12 +283,19 @@
 	if !ok {
 		return nil, &failure{400, "missing or invalid " + headerExpires}
 	}
-	return &Call{
-		Class:   class,
-		Budget:  max(expires-time.Since(c.started)-answerMargin, 0),
-		Repeat:  string(c.head.get(headerRepeat)) == "1",
-		Message: &request{head: &c.head, body: c.body},
-	}, nil
+	patience := max(expires-answerMargin, 0) // from the message's last byte on
+	call := &Call{Class: class, Budget: patience, Repeat: string(c.head.get(headerRepeat)) == "1",
+		Message: &request{head: &c.head, body: c.body, upload: c.upload}}
+	if u := c.upload; u != nil {
+		u.expires = patience
+		length := c.head.length
+		if length < 0 {
+			length = MaxBody
+		}
+		call.Budget += 2 * bodyLimit(length) // pace is what bounds it; a worker that takes it slowly must not
+		call.Upload = u
+	}
+	return call, nil
 }
 
 // parseExpires reads a number and a unit, m or u.
@@ -286,20 +324,67 @@
 
 // serve hands a call over, watches meanwhile for the client's leaving, and writes the answer.
 func (c *client) serve(call *Call) {
-	left, watched := make(chan struct{}), make(chan struct{})
+	left, watched, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	call.Left = left
-	c.SetReadDeadline(time.Time{})
+	if c.upload == nil {
+		c.SetReadDeadline(time.Time{})
+	}
 	go func() {
 		defer close(watched)
+		if c.upload != nil && !c.upload.await(done, left) {
+			return
+		}
 		if _, err := c.r.Peek(1); err != nil && !isTimeout(err) {
 			close(left)
 		}
 	}()
 	answer := c.Handler.Serve(call)
 	c.Figures.answered(call.Class, answer.Verdict) // before it is out: whoever has it finds it counted
-	c.answer(answer)
-	c.SetReadDeadline(time.Now())
+	if c.upload == nil {
+		c.answer(answer)
+		c.SetReadDeadline(time.Now())
+		<-watched
+		return
+	}
+	err := c.upload.state()
+	if err == nil {
+		c.closing = c.last()
+	}
+	rejected := err != nil && err != errUnread
+	if rejected {
+		c.reject(err)
+	} else {
+		c.answer(answer)
+	}
+	c.upload.stop()
+	close(done)
 	<-watched
+	if err != nil && !rejected && c.Enter(transport.Lingering) {
+		c.absorb()
+	}
+}
+
+// Bounds of what is still read of a long message after its call's final answer.
+const (
+	absorbStep = time.Second
+	absorbTime = 30 * time.Second
+)
+
+// absorb reads on what the client still sends of a message that has been answered before its end: closing would reset the
+// connection, and the reset can overtake the answer.
+func (c *client) absorb() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	end := time.Now().Add(absorbTime)
+	for n := 0; n < MaxBody && time.Now().Before(end); {
+		c.SetReadDeadline(time.Now().Add(absorbStep))
+		m, err := c.r.Discard(maxHead)
+		if n += m; err != nil {
+			return
+		}
+	}
 }
 
 func isTimeout(err error) bool {
@@ -337,7 +422,7 @@
 // lingerTime and lingerBytes bound how much of a rejected message is still read.
 const (
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 4 * MaxBody
+	lingerBytes = 256 << 10
 )
 
 // linger reads on for a little while after the last answer: closing with unread bytes would reset the
@@ -367,6 +452,10 @@
 	}
 	switch a.Verdict {
 	case Served:
+		if a.Reply.Rest != nil {
+			c.relay(a.Reply)
+			return
+		}
 		c.write(200, a.Reply.Header, "", a.Reply.Body)
 	case Refused:
 		advice := ""
@@ -399,3 +488,51 @@
 		c.closing = true
 	}
 }
+
+// relay passes an answer on whose rest is still to come. It ends the connection where the worker breaks off, so that the
+// client can tell, and the worker's where the client does.
+func (c *client) relay(reply *Reply) {
+	framing, chunked := "", false
+	switch {
+	case reply.Length >= 0:
+		framing = "Content-Length: " + strconv.FormatInt(reply.Length, 10) + "\r\n"
+	case bytes.Equal(c.head.start[2], []byte("HTTP/1.1")):
+		framing, chunked = "Transfer-Encoding: chunked\r\n", true
+	default:
+		c.closing = true
+	}
+	if c.closing {
+		framing += "Connection: close\r\n"
+	}
+	out := net.Buffers{[]byte(statusLines[200]), reply.Header, []byte(framing + "\r\n")}
+	piece := reply.Body
+	buf := make([]byte, relaySize)
+	for {
+		switch {
+		case len(piece) > 0 && chunked:
+			out = append(out, chunk(piece)...)
+		case len(piece) > 0:
+			out = append(out, piece)
+		}
+		if chunked && reply.rest.over {
+			out = append(out, []byte("0\r\n\r\n"))
+		}
+		c.SetWriteDeadline(time.Now().Add(relayTime))
+		if _, err := out.WriteTo(c.Conn); err != nil || reply.rest.over {
+			c.closing = c.closing || err != nil
+			reply.Rest.Close(err == nil && reply.reuse)
+			return
+		}
+		reply.Rest.SetDeadline(time.Now().Add(relayTime))
+		n, err := reply.rest.Read(buf)
+		if err != nil && err != io.EOF {
+			c.closing = true
+			reply.Rest.Close(false)
+			if reset, ok := c.Conn.(interface{ SetLinger(int) error }); ok && !chunked && reply.Length < 0 {
+				reset.SetLinger(0) // its end would else look like the answer's
+			}
+			return
+		}
+		out, piece = out[:0], buf[:n]
+	}
+}
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -3,9 +3,13 @@
 // and Messages can be put before the same decisions.
 package protocol
 
-import "time"
+import (
+	"time"
 
-// Call is one request of a client, read whole.
+	"burlpass/internal/transport"
+)
+
+// Call is one request of a client, read whole, or up to its window where Upload is set.
 type Call struct {
 	Class   int           // position in the settings
 	Tenant  int           // position in the settings, 0 where there are none
@@ -14,6 +18,14 @@
 	Write   bool
 	Message Message
 	Left    <-chan struct{} // closed when the client has left
+	Upload  Upload          // the rest of a long message; nil where that is whole
+}
+
+// Upload is what is still to come of a call's message.
+type Upload interface {
+	Whole() <-chan struct{}  // closed when its last byte has come; the call's time counts from then
+	Patience() time.Duration // of the client, from that moment on
+	Begun() bool             // some of it has been read: a further delegation could not send it again
 }
 
 // Message is what a delegation carries to a worker.
@@ -21,6 +33,9 @@
 	// Encode returns the message for one delegation, which will be waited for no longer than remaining.
 	// The slices are used until the delegation ends.
 	Encode(worker string, remaining time.Duration) [][]byte
+	// Rest returns what writes the rest of the message after that, nil where Encode gives all. It can be called once for
+	// each delegation; what it returns works for one of them alone.
+	Rest() func(transport.Write) error
 }
 
 // Verdict is what became of a call.
@@ -51,10 +66,16 @@
 	ReplyFull        // it never ran
 )
 
-// Reply is a worker's whole answer. Header is in the form of the protocol that read it.
+// Reply is a worker's answer, whole, or its beginning where its delegation's Result has a Rest. Header is in the form of
+// the protocol that read it.
 type Reply struct {
 	Kind   Kind
 	Header []byte
 	Body   []byte
 	Load   []float32 // the load report, where one came
+
+	Length int64           // with a Rest: of the whole body, -1 where that is not known
+	Rest   *transport.Rest // where it comes from, set by whoever chooses this answer
+	rest   framed          // its framing
+	reuse  bool            // its connection may be used again after it
 }
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -6,13 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
 // Bounds of what is read from a connection.
 const (
 	maxHead = 8 << 10  // bytes; at most the size of the connection's buffer
-	MaxBody = 64 << 10 // bytes
+	MaxBody = 32 << 20 // bytes of a body or an answer
+	maxHeld = 64 << 10 // bytes of one that is held whole
 	maxLine = 256      // bytes of a chunk's size line or a trailer's line
 )
 
@@ -179,63 +181,115 @@
 	return true
 }
 
-// readBody reads a body of the framing that the head gives into dst.
-func readBody(r *bufio.Reader, h *head, dst []byte) ([]byte, error) {
-	if h.chunked {
-		return readChunks(r, dst, MaxBody)
-	}
-	if h.length > MaxBody {
-		return dst, ErrBodyTooBig
-	}
-	if h.length <= 0 {
-		return dst, nil
-	}
-	at := len(dst)
-	dst = append(dst, make([]byte, h.length)...)
-	_, err := io.ReadFull(r, dst[at:])
-	return dst, whole(err)
+// framed reads a body of the framing that its head gives, piece by piece.
+type framed struct {
+	r       *bufio.Reader
+	left    int64 // bytes to come, of the body or of the chunk at hand
+	chunked bool
+	toEnd   bool  // up to the connection's end
+	inside  bool  // a chunk has begun whose end has not been read
+	over    bool  // the body has been read to its end
+	room    int64 // bytes that further chunks may bring
 }
 
-func readChunks(r *bufio.Reader, dst []byte, most int) ([]byte, error) {
-	for {
-		line, err := readLine(r)
-		if err != nil {
-			return dst, err
-		}
-		size, _, _ := bytes.Cut(line, []byte(";"))
-		size = bytes.TrimRight(size, " \t")
-		n, err := strconv.ParseUint(string(size), 16, 31)
-		if err != nil || size[0] == '+' {
-			return dst, malformed("chunk size")
-		}
-		if n == 0 {
-			break
-		}
-		if len(dst)+int(n) > most {
-			return dst, ErrBodyTooBig
-		}
-		at := len(dst)
-		dst = append(dst, make([]byte, n)...)
-		if _, err := io.ReadFull(r, dst[at:]); err != nil {
-			return dst, whole(err)
+// body is the framed body that follows a head, of at most most bytes where it comes in chunks. Without a length there is
+// none, unless toEnd says that it goes up to the connection's end.
+func (h *head) body(r *bufio.Reader, toEnd bool, most int64) framed {
+	toEnd = toEnd && !h.chunked && h.length < 0
+	return framed{r: r, left: max(h.length, 0), chunked: h.chunked, toEnd: toEnd, room: most,
+		over: !h.chunked && !toEnd && h.length <= 0}
+}
+
+// Read reads a part of the body. It returns io.EOF after the end, with no bytes, and io.ErrUnexpectedEOF where the
+// connection ends before it.
+func (f *framed) Read(p []byte) (int, error) {
+	switch {
+	case f.over:
+		return 0, io.EOF
+	case len(p) == 0:
+		return 0, nil
+	case f.toEnd:
+		n, err := f.r.Read(p)
+		f.over = err == io.EOF
+		return n, err
+	case f.chunked && f.left == 0:
+		if err := f.nextChunk(); err != nil {
+			return 0, err
 		}
-		if line, err = readLine(r); err != nil {
-			return dst, err
+	}
+	n, err := f.r.Read(p[:min(int64(len(p)), f.left)])
+	f.left -= int64(n)
+	f.over = !f.chunked && f.left == 0
+	return n, whole(err)
+}
+
+// nextChunk reads the end of the chunk before and the size of the next one, or the trailers and then returns io.EOF.
+func (f *framed) nextChunk() error {
+	if f.inside {
+		if line, err := readLine(f.r); err != nil {
+			return err
 		} else if len(line) > 0 {
-			return dst, malformed("chunk end")
+			return malformed("chunk end")
 		}
+		f.inside = false
+	}
+	line, err := readLine(f.r)
+	if err != nil {
+		return err
+	}
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	size = bytes.TrimRight(size, " \t")
+	n, err := strconv.ParseUint(string(size), 16, 31)
+	if err != nil || size[0] == '+' {
+		return malformed("chunk size")
+	}
+	if int64(n) > f.room {
+		return ErrBodyTooBig
+	}
+	if n > 0 {
+		f.room -= int64(n)
+		f.left, f.inside = int64(n), true
+		return nil
 	}
 	for trailer := 0; trailer <= maxHead; { // trailers are read and dropped
-		line, err := readLine(r)
+		line, err := readLine(f.r)
 		if err != nil {
-			return dst, err
+			return err
 		}
 		if len(line) == 0 {
-			return dst, nil
+			f.over = true
+			return io.EOF
 		}
 		trailer += len(line)
 	}
-	return dst, ErrHeadTooBig
+	return ErrHeadTooBig
+}
+
+// upTo appends the body to dst until dst holds most bytes or the body is over.
+func (f *framed) upTo(dst []byte, most int) ([]byte, error) {
+	if !f.chunked && !f.toEnd {
+		dst = slices.Grow(dst, int(min(f.left, int64(most-len(dst)))))
+	}
+	for !f.over && len(dst) < most {
+		if len(dst) == cap(dst) {
+			dst = slices.Grow(dst, 512)
+		}
+		n, err := f.Read(dst[len(dst):min(cap(dst), most)])
+		dst = dst[:len(dst)+n]
+		if err != nil && err != io.EOF {
+			return dst, err
+		}
+	}
+	return dst, nil
+}
+
+// readBody reads a whole body of at most most bytes into dst.
+func readBody(r *bufio.Reader, h *head, dst []byte, most int) ([]byte, error) {
+	if h.length > int64(most) {
+		return dst, ErrBodyTooBig
+	}
+	body := h.body(r, false, int64(most))
+	return body.upTo(dst, most+1)
 }
 
 // readLine reads a short line and drops its end; the slice is valid until the next read.
--- a/internal/protocol/registry.go
+++ b/internal/protocol/registry.go
@@ -196,7 +196,7 @@
 func readList(r *bufio.Reader, h *head) ([]byte, error) {
 	switch {
 	case h.chunked:
-		return readChunks(r, nil, maxList)
+		return readBody(r, h, nil, maxList)
 	case h.length > maxList:
 		return nil, ErrBodyTooBig
 	case h.length < 0:
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"math"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -14,8 +15,9 @@
 // request is a client's HTTP request, to be passed on to a worker. Its head and body stay where the
 // client's connection read them until the call is over.
 type request struct {
-	head *head
-	body []byte
+	head   *head
+	body   []byte  // whole, or its window
+	upload *upload // what follows the window; nil where the body is whole
 }
 
 // Encode gathers the request line, the headers that pass, and the body, all unchanged.
@@ -30,19 +32,38 @@
 			out = append(out, f.line)
 		}
 	}
+	if q.upload != nil { // its time counts from its last byte
+		remaining = min(remaining, q.upload.expires)
+	}
 	tail := headerExpires + ": " + strconv.FormatInt(max(remaining.Microseconds(), 1), 10) + "u\r\n"
-	if h.chunked || h.length >= 0 {
+	switch {
+	case q.upload != nil && h.chunked:
+		return append(append(out, []byte(tail+"Transfer-Encoding: chunked\r\n\r\n")), chunk(q.body)...)
+	case q.upload != nil:
+		tail += "Content-Length: " + strconv.FormatInt(h.length, 10) + "\r\n"
+	case h.chunked || h.length >= 0:
 		tail += "Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n"
 	}
 	return append(out, []byte(tail+"\r\n"), q.body)
 }
 
+// Rest passes on what follows the window.
+func (q *request) Rest() func(transport.Write) error {
+	if q.upload == nil {
+		return nil
+	}
+	return q.upload.pass
+}
+
 // probe asks a worker for its load report.
 type probe struct{}
 
 // Probe is the message of a probe.
 func Probe() Message { return probe{} }
 
+// Rest is nothing: a probe has no body.
+func (probe) Rest() func(transport.Write) error { return nil }
+
 func (probe) Encode(worker string, _ time.Duration) [][]byte {
 	return [][]byte{[]byte("GET /_load HTTP/1.1\r\nHost: " + worker + "\r\n\r\n")}
 }
@@ -78,8 +99,10 @@
 	return Delegation{Reply: reply, Attempt: w.Pool.Start(peer, transport.Exchange{
 		Written: written, Tag: back.Tag, Done: back.To,
 		Message: net.Buffers(m.Encode(peer.Addr, remaining)),
+		Rest:    m.Rest(),
 		Ready:   ready,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
+		More:    func() bool { return !reply.rest.over },
 	})}
 }
 
@@ -117,21 +140,14 @@
 	return 0, malformed("interim responses without end")
 }
 
-// readReply reads a worker's whole answer.
+// readReply reads a worker's answer: whole, or, of a good one that is longer than is held, its beginning. The rest of
+// that is reply.rest's.
 func readReply(r *bufio.Reader, columns []string, reply *Reply) (reuse bool, err error) {
 	var h head
 	status, err := readResponse(r, &h)
 	if err != nil {
 		return false, err
 	}
-	if status != 204 && status != 304 {
-		if h.length < 0 && !h.chunked { // a body up to the connection's end cannot be told from a broken one
-			return false, malformed("answer without a length")
-		}
-		if reply.Body, err = readBody(r, &h, nil); err != nil {
-			return false, err
-		}
-	}
 	switch {
 	case status == 200:
 		reply.Kind = ReplyServed
@@ -140,9 +156,35 @@
 	default:
 		reply.Kind = ReplyError
 	}
+	reuse = !h.closing && !bytes.Equal(h.start[0], []byte("HTTP/1.0"))
+	reply.rest.over = true
+	if status != 204 && status != 304 {
+		if h.length < 0 && !h.chunked && reuse { // a body up to the connection's end, which nothing has announced
+			return false, malformed("answer without a length")
+		}
+		body := h.body(r, true, math.MaxInt64)
+		most := maxHeld
+		switch {
+		case h.length > maxHeld && reply.Kind != ReplyServed: // nobody wants what an error says at such length
+			most, body.over, reuse = 0, true, false
+		case h.length > maxHeld: // the client waits for its first bytes
+			most = 0
+		case h.length < 0:
+			most = maxWindow
+		}
+		if reply.Body, err = body.upTo(nil, most); err != nil {
+			return false, err
+		}
+		if !body.over && reply.Kind != ReplyServed {
+			body.over, reuse = true, false
+		}
+		if reply.rest = body; !body.over {
+			reply.Length, reply.reuse = h.length, reuse
+		}
+	}
 	if v := h.get(loadHeader); v != nil {
 		reply.Load = parseReport(v, columns)
-	} else if reply.Kind == ReplyServed {
+	} else if reply.Kind == ReplyServed && reply.rest.over {
 		reply.Load = parseReport(reply.Body, columns)
 	}
 	for _, f := range h.fields {
@@ -150,5 +192,5 @@
 			reply.Header = append(reply.Header, f.line...)
 		}
 	}
-	return !h.closing && !bytes.Equal(h.start[0], []byte("HTTP/1.0")), nil
+	return reuse, nil
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -76,6 +76,10 @@
 	results := make(chan transport.Result, copies) // theirs; there is room for all, so that none waits
 	var final *protocol.Answer                     // the answer, once chosen
 	left := call.Left
+	var whole <-chan struct{} // the rest of a long message has come
+	if call.Upload != nil {
+		whole = call.Upload.Whole()
+	}
 	for {
 		select {
 		case a := <-t.orders:
@@ -113,9 +117,18 @@
 			out = slices.Delete(out, at, at+1)
 			d.fresh, d.whole = result.Sent && !result.Kept, result.Err == nil
 			status := d.status(result, left == nil)
-			if status == decide.OK && final == nil {
+			switch {
+			case status == decide.OK && final == nil:
+				d.Reply.Rest = result.Rest
 				final = &protocol.Answer{Verdict: protocol.Served, Reply: d.Reply}
 				abort(out)
+			case result.Rest != nil:
+				result.Rest.Close(false)
+			case final == nil && call.Upload != nil && call.Upload.Begun(): // it cannot be sent again
+				final = &protocol.Answer{Verdict: protocol.Failed}
+				if status == decide.Full || status == decide.ConnectFailed || status == decide.Moot {
+					final.Verdict = protocol.Refused
+				}
 			}
 			r.tell(t.outcome(d, status, final != nil || left == nil)) // the module chooses what comes next
 
@@ -131,6 +144,16 @@
 				timeout.Reset(next.Sub(now))
 			}
 
+		case <-whole: // the call's time counts from now on
+			whole = nil
+			now := time.Now()
+			t.end = now.Add(call.Upload.Patience())
+			for _, d := range out {
+				d.begun, d.end = now, t.end
+			}
+			timeout.Reset(call.Upload.Patience())
+			overdue.Reset(call.Upload.Patience() + overtime)
+
 		case <-left:
 			left = nil
 			t.gone.Store(true)
@@ -176,7 +199,7 @@
 	r.lastCall++
 	t.id = r.lastCall
 	r.calls[t.id] = t
-	rest := r.handle(decide.Event{Kind: decide.Request, ID: t.id, Class: call.Class, Tenant: call.Tenant,
+	rest := r.handle(decide.Event{Kind: decide.Request, ID: t.id, Class: call.Class, Tenant: call.Tenant, Long: call.Upload != nil,
 		Budget: call.Budget, Repeat: call.Repeat, Write: call.Write})
 	r.mu.Unlock()
 	r.carryOut(rest)
@@ -248,7 +271,7 @@
 		return decide.Cancelled
 	case result.Sent && (protocol.IsMalformed(result.Err) || errors.Is(result.Err, transport.ErrEarly)):
 		return decide.Spoilt // the worker did answer
-	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded),
+	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded), errors.Is(result.Err, transport.ErrSource),
 		errors.Is(result.Err, transport.ErrRevoked), errors.Is(result.Err, transport.ErrEarly):
 		return decide.Moot // says nothing of the worker
 	case result.Sent && result.Kept: // its worker may have closed it meanwhile
--- a/internal/routing/copies_test.go
+++ b/internal/routing/copies_test.go
@@ -41,6 +41,8 @@
 // plain is a message of the network's simplest form.
 type plain struct{}
 
+func (plain) Rest() func(transport.Write) error { return nil }
+
 func (plain) Encode(worker string, _ time.Duration) [][]byte {
 	return [][]byte{[]byte("GET /x HTTP/1.1\r\nHost: " + worker + "\r\n\r\n")}
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -20,18 +21,24 @@
 	ErrRevoked = errors.New("no longer wanted when its connection was there")
 	ErrCrowded = errors.New("no descriptor left for a connection")
 	ErrEarly   = errors.New("an answer began before its message was out")
+	ErrSource  = errors.New("its message broke off")
 )
 
 // Exchange is one message to a worker and the reading of its answer. It is protocol-neutral.
 type Exchange struct {
 	Message net.Buffers
+	Rest    func(write Write) error                       // writes what follows Message; nil where that is whole
 	Ready   func() bool                                   // asked last thing before the first byte goes out
-	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one whole answer
+	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one answer, whole or up to where More says
+	More    func() bool                                   // tells, after Read, that the answer goes on; nil for never
 	Written *atomic.Int64                                 // counts the exchange once its last byte has gone out; nil for none
 	Tag     int                                           // the caller's own; its Result bears it
 	Done    chan Result                                   // where the Result goes, with room for it; nil for a channel of the attempt's own
 }
 
+// Write sends a piece of a message; with last, its end. It returns an error once the exchange is over.
+type Write func(piece net.Buffers, last bool) error
+
 // done is the channel for the exchange's result.
 func (x *Exchange) done() chan Result {
 	if x.Done != nil {
@@ -47,6 +54,27 @@
 	Sent bool
 	Kept bool // it went over a connection kept from an exchange before
 	Err  error
+	Rest *Rest // of the answer, where Read has not read it whole; whoever has the result closes it
+}
+
+// Rest is the part of an answer that is still to come, and the connection on which it comes. It belongs to one
+// goroutine at a time.
+type Rest struct {
+	Reader *bufio.Reader
+	conn   *conn
+	over   chan bool
+}
+
+// SetDeadline bounds the reads of the rest.
+func (r *Rest) SetDeadline(t time.Time) { r.conn.SetReadDeadline(t) }
+
+// Close ends the exchange: its connection is kept where reuse tells that the answer has been read to its end, else
+// closed. It is called exactly once.
+func (r *Rest) Close(reuse bool) {
+	if !reuse {
+		r.conn.Close()
+	}
+	r.over <- reuse
 }
 
 type stage uint8
@@ -138,14 +166,19 @@
 		return
 	}
 	message := a.x.Message
-	if size(message) > wholeWrite {
+	if a.x.Rest != nil {
+		if !a.stream(c) {
+			return
+		}
+		message = nil
+	} else if size(message) > wholeWrite {
 		first, last := keepLast(message)
 		if !a.send(c, first, false) {
 			return
 		}
 		message = net.Buffers{last}
 	}
-	if !a.send(c, message, true) {
+	if message != nil && !a.send(c, message, true) {
 		return
 	}
 	a.mu.Lock()
@@ -158,6 +191,33 @@
 	}
 }
 
+// pieceTime bounds the writing of one piece of a long message: a worker that takes none for so long takes no more.
+const pieceTime = 10 * time.Second
+
+// stream writes a message that comes in pieces.
+func (a *Attempt) stream(c *conn) bool {
+	defer c.SetWriteDeadline(time.Time{})
+	c.SetWriteDeadline(time.Now().Add(pieceTime))
+	if !a.send(c, a.x.Message, false) {
+		return false
+	}
+	whole := false
+	err := a.x.Rest(func(piece net.Buffers, last bool) error {
+		c.SetWriteDeadline(time.Now().Add(pieceTime))
+		if !a.send(c, piece, last) {
+			return net.ErrClosed
+		}
+		whole = last
+		return nil
+	})
+	if err != nil || !whole {
+		a.settle(false, cmp.Or(err, ErrSource)) // changes nothing where a piece has failed
+		c.Close()
+		return false
+	}
+	return true
+}
+
 // send writes a part of the message, unless an answer has begun to come, which cannot be the answer to it.
 func (a *Attempt) send(c *conn, part net.Buffers, isLast bool) bool {
 	if !c.Quiet() {
@@ -236,7 +296,11 @@
 	a := &Attempt{Done: x.done(), x: x, wrote: make(chan struct{})}
 	if c := p.reuse(peer, a); c != nil {
 		c.SetReadDeadline(time.Time{})
-		a.write(c)
+		if x.Rest != nil { // takes as long as its source
+			go a.write(c)
+		} else {
+			a.write(c)
+		}
 		return a
 	}
 	if !p.budget.take() && !p.evict() {
@@ -314,6 +378,12 @@
 			a.broke(err)
 			return
 		}
+		if a.x.More != nil && a.x.More() {
+			if !p.hand(c, a) {
+				return
+			}
+			continue
+		}
 		if !p.finish(c, a, reuse) {
 			return
 		}
@@ -343,6 +413,21 @@
 	return kept
 }
 
+// hand settles an exchange whose answer goes on, waits until the rest has been dealt with, and tells whether its
+// connection is idle again.
+func (p *Pool) hand(c *conn, a *Attempt) bool {
+	rest := &Rest{Reader: c.r, conn: c, over: make(chan bool, 1)}
+	a.mu.Lock()
+	if a.stage == settled {
+		a.mu.Unlock()
+		return false
+	}
+	a.stage = settled
+	a.Done <- Result{Tag: a.x.Tag, Sent: true, Kept: a.kept, Rest: rest}
+	a.mu.Unlock()
+	return <-rest.over && p.release(c)
+}
+
 // release makes a connection idle again.
 func (p *Pool) release(c *conn) bool {
 	if c.r.Buffered() > 0 || p.idleTime <= 0 {
