--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,16 +41,17 @@
 	loadTau      = 2 * time.Second  // memory of a tier's load signal
 	loadLow      = 0.3              // share of the slack used by waiting at which load is moved or shed
 	loadSpan     = 0.8              // and the further share at which all of it is
-	loadReset    = 4 * time.Second  // time in which the lasting pressure can go from none to all, or back
+	loadReset    = 8 * time.Second  // time in which the lasting pressure can go from none to all, or back
 	unfeltMost   = 3                // requests shed with no attempt felt between, taken on trust
 	unfeltFade   = 0.9              // and what each further one leaves of the pressure
 	outlierSlow  = 2.0              // a server this many times slower than the others is an outlier
 	outlierFelt  = 0.5              // and adds no more than this to the load signal
 	shareOdds    = 20.0             // requests that a tenant's fair part is taken on trust for
 	spillLeast   = 0.3              // difference in pressure under which nothing spills: noise of few samples
+	busyFelt     = 0.05             // waiting at which one own attempt at each server is too many
 	leanLeast    = 0.1              // difference in waiting under which no further share leaves the own zone
 	leanTime     = 3 * time.Second  // time in which a difference of the whole slack moves all
-	leanFade     = 20 * time.Second // in which the share falls to a third where no difference is felt
+	leanFade     = 8 * time.Second  // in which the share falls to a third where no difference is felt
 	leanStep     = 500 * time.Millisecond
 	leanMost     = 0.9
 	spillGain    = 0.5 // part of a request's worth that a crossing must not cost more than
@@ -510,8 +511,8 @@
 	return b.near
 }
 
-// spill tells whether a request leaves its own zone for load alone: the zone's waiting eats more of the
-// slack than elsewhere, and the request is worth the crossing.
+// spill tells whether a request that is worth the crossing leaves its own zone for load alone: every server
+// there has more own attempts out than one elsewhere, or the zone's waiting eats more of the slack.
 func (b *Balancer) spill(r *request) bool {
 	if len(b.tiers[1].live.list) == 0 {
 		return false
@@ -521,11 +522,13 @@
 	if b.doubtful(&b.tiers[0]) && !b.doubtful(&b.tiers[1]) {
 		own = max(own, doubtSpill)
 	}
-	gap := own - other
-	if gap <= spillLeast {
-		gap = 0
+	away := b.away
+	if gap := own - other; gap > spillLeast {
+		away += gap
 	}
-	return b.worthCrossing(r) && b.rng.Float64() < b.away+gap
+	here := b.least(&b.tiers[0])
+	busier := here > b.least(&b.tiers[1]) && (here > 1 || b.felt(&b.tiers[0]) > busyFelt)
+	return b.worthCrossing(r) && (busier || b.rng.Float64() < away)
 }
 
 // lean moves the share of the calls that leave the own zone as long as waiting differs: what spills at once
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -184,6 +185,15 @@
 	return flow / n
 }
 
+// least is the least number of own attempts out at a server that would be drawn from a tier.
+func (b *Balancer) least(t *tier) int {
+	n := math.MaxInt
+	for _, s := range b.subset(t) {
+		n = min(n, s.out)
+	}
+	return n
+}
+
 func (r *request) tried(s *server) bool {
 	for i := range r.tries {
 		if r.tries[i].s == s {
