--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	outlierFelt  = 0.5              // and adds no more than this to the load signal
 	shareOdds    = 20.0             // requests that a tenant's fair part is taken on trust for
 	spillLeast   = 0.3              // difference in pressure under which nothing spills: noise of few samples
+	busyWork     = 0.1              // part of the shortest aim that crossing must save, in work ahead
 	busyFelt     = 0.05             // waiting at which one own attempt at each server is too many
 	leanLeast    = 0.1              // difference in waiting under which no further share leaves the own zone
 	leanTime     = 3 * time.Second  // time in which a difference of the whole slack moves all
@@ -512,7 +513,7 @@
 }
 
 // spill tells whether a request that is worth the crossing leaves its own zone for load alone: every server
-// there has more own attempts out than one elsewhere, or the zone's waiting eats more of the slack.
+// there has more own work out than one elsewhere, enough to be felt, or the zone waits longer.
 func (b *Balancer) spill(r *request) bool {
 	if len(b.tiers[1].live.list) == 0 {
 		return false
@@ -526,8 +527,9 @@
 	if gap := own - other; gap > spillLeast {
 		away += gap
 	}
-	here := b.least(&b.tiers[0])
-	busier := here > b.least(&b.tiers[1]) && (here > 1 || b.felt(&b.tiers[0]) > busyFelt)
+	here, there := b.least(&b.tiers[0]), b.least(&b.tiers[1])
+	busier := float64(here-there)*b.meanWork() > busyWork*b.tight()
+	busier = busier && (here > 1 || b.felt(&b.tiers[0]) > busyFelt)
 	return b.worthCrossing(r) && (busier || b.rng.Float64() < away)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -194,6 +194,15 @@
 	return n
 }
 
+// tight is the shortest aim, in seconds.
+func (b *Balancer) tight() float64 {
+	aim := math.Inf(1)
+	for i := range b.classes {
+		aim = min(aim, b.classes[i].Aim.Seconds())
+	}
+	return aim
+}
+
 func (r *request) tried(s *server) bool {
 	for i := range r.tries {
 		if r.tries[i].s == s {
