--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,7 @@
 	baseEject    = 4 * time.Second // ejection after repeated or hard failures, doubled each time
 	maxEject     = 32 * time.Second
 	hardStrike   = 3    // evidence of a failed connection; 2 ejects, less suspends
-	spoiltRun    = 4    // unreadable answers in a row that count as a failure
+	badRun       = 4    // unreadable answers, or breaks soon after an answer, in a row that are a failure
 	trialWins    = 2    // answers a half-open server must give; one alone is weak evidence
 	trialChance  = 0.5  // chance that a safe request is used as a trial when one is due
 	panicShare   = 0.5  // soft evidence never leaves less than this share of a tier's weight in use
@@ -770,7 +770,7 @@
 		b.strike(s, 1)
 	case Spoilt: // the server works; only one that spoils answer after answer is no use
 		s.tier.heard(b.now)
-		if s.spoilt++; s.spoilt >= spoiltRun {
+		if s.spoilt++; s.spoilt >= badRun {
 			b.strike(s, hardStrike)
 		}
 	}
@@ -827,9 +827,9 @@
 }
 
 // broke counts a connection that failed, or broke under an attempt. Single breaks happen to every server:
-// between answers they prove nothing. A dead process breaks all its connections; the second one proves it.
+// between answers, or a few, prove nothing. A dead process breaks all its connections, and soon that many.
 func (b *Balancer) broke(s *server) {
-	if s.in == &s.tier.live && s.strikes == 0 && s.okAt > 0 && b.now-s.okAt < answerFresh {
+	if s.in == &s.tier.live && s.strikes < badRun-1 && s.okAt > 0 && b.now-s.okAt < answerFresh {
 		s.strikes++
 		return
 	}
