--- a/internal/sim/mutant.go
+++ b/internal/sim/mutant.go
@@ -41,7 +41,7 @@
 		one("cancel-leaves-open", "giving up leaves the connection open", "internal/transport/pool.go",
 			"		a.conn.Close() // returns once", "		// returns once"),
 		one("aborted-reused", "a connection is used again after a cancel", "internal/transport/pool.go",
-			"		a.conn.Close() // returns once the descriptor is closed, so the next attempt goes out after it\n	}\n	a.settleLocked(a.stage != waiting, ErrAborted)",
+			"		a.conn.Close() // returns once the descriptor is closed, so the next attempt goes out after it\n	}\n	a.settleLocked(a.begun(), ErrAborted)",
 			"		a.conn.cur = nil\n	}\n	a.settleLocked(false, ErrAborted)"),
 		{"surplus-reused", "bytes beyond an answer are taken for the next one", []Edit{
 			{"internal/transport/pool.go", "if c.r.Buffered() > 0 || p.idleTime <= 0 {", "if p.idleTime <= 0 {"},
