--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -373,7 +373,7 @@
 		return
 	}
 	end := time.Now().Add(absorbTime)
-	for n := 0; n < MaxBody && time.Now().Before(end); {
+	for n := 0; n < MaxBody && time.Now().Before(end) && c.Closing.Err() == nil; {
 		c.SetReadDeadline(time.Now().Add(absorbStep))
 		m, err := c.r.Discard(maxHead)
 		if n += m; err != nil {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -60,9 +60,8 @@
 // Rest is the part of an answer that is still to come, and the connection on which it comes. It belongs to one
 // goroutine at a time.
 type Rest struct {
-	Reader *bufio.Reader
-	conn   *conn
-	over   chan bool
+	conn *conn
+	over chan bool
 }
 
 // SetDeadline bounds the reads of the rest.
@@ -423,7 +422,7 @@
 // hand settles an exchange whose answer goes on, waits until the rest has been dealt with, and tells whether its
 // connection is idle again.
 func (p *Pool) hand(c *conn, a *Attempt) bool {
-	rest := &Rest{Reader: c.r, conn: c, over: make(chan bool, 1)}
+	rest := &Rest{conn: c, over: make(chan bool, 1)}
 	a.mu.Lock()
 	if a.stage == settled {
 		a.mu.Unlock()
