Changes of the list are heard of within the time told, in every order of failures

Cause: a watch waited up to 10 s and 0.75 s, and a second failure in a row backed off up to 6 s (routing/registry.go watchWait; decide/members.go, case ListFailed). A watch that fell silent right before a change, an outage that ended with it, or a watch reset beside it, each followed by one more failed call, was heard of up to 18 s later; a change counts as told 6 s after discovery had it and could be reached, whatever failed between. Ruled out: the answer's own way, and lists taken in late (learn drops older ones). Change: the time told (from the settings) is divided among the watch's wait, its lateness, the calls that make up for it and the module's waits, so that every order with one silence and one further failure ends within it (routing/times.go).

--- a/decide/api.go
+++ b/decide/api.go
@@ -103,6 +103,18 @@
 	WarmAfter    time.Duration // and is warm within this time
 }
 
+// latestTold is when a change counts as told, after discovery had it and could be reached, whatever failed between.
+const latestTold = 6 * time.Second
+
+// ToldWithin is the time within which a sidecar has to learn of a change that discovery has and can be asked for: after
+// it the change counts as told, whatever became of calls meanwhile.
+func (s Safety) ToldWithin() time.Duration {
+	if s.AskWithin > 0 {
+		return min(s.AskWithin, latestTold)
+	}
+	return latestTold
+}
+
 // Limits is what a deployment permits.
 type Limits struct {
 	Cancel        bool
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,9 +57,9 @@
 	outPower     = 8.0 // a server is drawn this steeply less with own attempts out there
 	fastest      = 0.2 // latency against the rest below which a server is not preferred further
 	holdStep     = 50 * time.Millisecond
-	watchSlot    = 60 * time.Millisecond // failed subscription calls are spread over this for each sidecar
-	watchBackoff = time.Second           // doubled at each failure up to
-	watchMax     = 6 * time.Second       // what is missed counts as told then
+	watchSlot    = 60 * time.Millisecond // first calls for the list are spread over this for each sidecar
+	watchFirst   = 0.14                  // most wait after a first failure, of Safety.ToldWithin
+	watchRetry   = 0.3                   // and after each further one
 	healthMemory = 2 * time.Second       // age at which what was learned of a server's speed counts half
 )
 
--- a/decide/members.go
+++ b/decide/members.go
@@ -9,22 +9,20 @@
 func (b *Balancer) members(e *Event) {
 	silent := e.List == ListFailed && e.Status == TimedOut
 	switch {
-	case e.List == ListMoved, silent: // another registry, or one broken watch: the registry is not down
+	case e.List == ListMoved, silent: // another discovery, or a call that fell silent, which took its time
 		b.failures = 0
-		if silent {
-			b.failures = 1
-		}
 		b.act(Action{Kind: Watch, On: true})
 		return
-	case e.List == ListFailed:
-		b.failures++
-		most := min((watchBackoff+b.watchSpread())<<min(b.failures-1, 8), watchMax)
-		b.wake(time.Duration((0.1+0.9*b.rng.Float64())*float64(most)), tokWatch, 0, 0)
+	case e.List == ListFailed: // two waits and two calls fit in the time after which a change is told
+		most := watchFirst
+		if b.failures++; b.failures > 1 {
+			most = watchRetry
+		}
+		most *= (0.1 + 0.9*b.rng.Float64()) * float64(b.c.Safety.ToldWithin())
+		b.wake(time.Duration(most), tokWatch, 0, 0)
 		return
-	}
-	switch {
-	case e.List == ListCached && b.c.Subscribe:
-		most := min(b.watchSpread(), b.c.Safety.DrainGrace*4/5) // what an old list lacks may count as told
+	case e.List == ListCached && b.c.Subscribe: // what an old list lacks may count as told already
+		most := min(time.Duration(b.c.Balancers)*watchSlot, b.c.Safety.DrainGrace*4/5)
 		b.wake(time.Duration(b.rng.Float64()*float64(most)), tokWatch, 0, 0)
 	case e.List != ListCached:
 		b.failures = 0
@@ -67,11 +65,6 @@
 	return min(max(1-own/all*float64(len(b.zones)), 0), leanMost)
 }
 
-// watchSpread is the time over which calls that failed together come again.
-func (b *Balancer) watchSpread() time.Duration {
-	return min(time.Duration(b.c.Balancers)*watchSlot, watchMax)
-}
-
 func (b *Balancer) drop(s *server) {
 	b.move(s, nil)
 	s.State = Gone
--- a/internal/protocol/registry.go
+++ b/internal/protocol/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -115,19 +114,12 @@
 	return nil
 }
 
-// Times for a call to the registry.
-const (
-	watchTime  = 10 * time.Second       // the wait of one watch call
-	watchGrace = 750 * time.Millisecond // past it the watch is broken: at 2 s its news counts as told, and must be asked for by then
-	fetchTime  = 5 * time.Second        // news counts as told 6 s after a plain call at the latest
-)
-
 // Registry asks the registry's service for lists. A Registry is used by one goroutine at a time.
 type Registry struct {
 	Network transport.Network
 	Addr    string
-	Wait    time.Duration // that a watch asks for; 0: 10 s
-	Grace   time.Duration // in which an answer must be there beyond its wait; 0: 0.75 s for a watch, 5 s for a plain call
+	Wait    time.Duration // that a watch asks for
+	Grace   time.Duration // in which an answer must be there, beyond its wait for a watch
 	conn    net.Conn
 	r       *bufio.Reader
 }
@@ -135,13 +127,13 @@
 // Watch waits for something newer than a generation.
 func (g *Registry) Watch(ctx context.Context, since uint64) (*List, error) {
 	target := "/catalog/members?since=" + strconv.FormatUint(since, 10) +
-		"&timeout_ms=" + strconv.FormatInt(cmp.Or(g.Wait, watchTime).Milliseconds(), 10)
-	return g.get(ctx, target, cmp.Or(g.Wait, watchTime)+cmp.Or(g.Grace, watchGrace))
+		"&timeout_ms=" + strconv.FormatInt(g.Wait.Milliseconds(), 10)
+	return g.get(ctx, target, g.Wait+g.Grace)
 }
 
 // Fetch asks for the whole list.
 func (g *Registry) Fetch(ctx context.Context) (*List, error) {
-	return g.get(ctx, "/catalog/members", cmp.Or(g.Grace, fetchTime))
+	return g.get(ctx, "/catalog/members", g.Grace)
 }
 
 // Close ends the connection.
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -78,19 +78,11 @@
 // again, is not flooded; the next call of a watch must come within 200 ms of the last answer.
 const watchPace = 100 * time.Millisecond
 
-// Times of a watch. What a silent one misses counts as told 2 s after its wait, so its end, the call that makes up for it,
-// and one more should that be silent too, fit in there. Waits differ, or all sidecars would call at once for ever after a
-// change that all have heard together.
-const (
-	watchWait   = 10 * time.Second
-	watchSpread = 0.2                    // part of it by which waits differ
-	quickWait   = 100 * time.Millisecond // of the call that makes up for a silent watch
-)
-
 // follow asks the registry again as soon as it has answered, which is what keeps the watch alive, until a call
 // fails. It returns that failure, and nil where the watch was ended from here.
 func (r *Router) follow(s *subscription) error {
 	defer s.cancel()
+	times := timesWithin(r.Decide.Safety.ToldWithin())
 	registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
 	defer registry.Close()
 	for {
@@ -99,14 +91,16 @@
 		var err error
 		kind := decide.ListDelta
 		if s.whole {
+			registry.Grace = times.plain
 			list, err = registry.Fetch(s.ctx)
 			s.whole, kind = false, decide.ListFull
 		} else {
 			r.mu.Lock()
 			since := r.generation
 			r.mu.Unlock()
-			if registry.Wait = time.Duration((1 - watchSpread*rand.Float64()) * float64(watchWait)); s.quick {
-				registry.Wait = quickWait
+			registry.Wait, registry.Grace = times.wait(rand.Float64()), times.late
+			if s.quick {
+				registry.Wait, registry.Grace = times.quick, times.plain
 			}
 			list, err = registry.Watch(s.ctx, since)
 		}
@@ -133,7 +127,7 @@
 	r.mu.Lock()
 	s := &subscription{source: r.source}
 	r.mu.Unlock()
-	registry := &protocol.Registry{Network: r.Network, Addr: s.addr}
+	registry := &protocol.Registry{Network: r.Network, Addr: s.addr, Grace: timesWithin(r.Decide.Safety.ToldWithin()).plain}
 	defer registry.Close()
 	list, err := registry.Fetch(r.ctx)
 	if err != nil {
@@ -143,8 +137,7 @@
 	r.learn(s.source, list, decide.ListFull)
 }
 
-// listFailed tells the module of a call that failed. One that found silence after its whole wait is told as such, whatever
-// failed before it; not the quick one that makes up for it: two in a row are more than one broken watch.
+// listFailed tells the module of a call that failed, and whether it fell silent, which takes a call's whole time.
 func (r *Router) listFailed(s *subscription, call string, err error) {
 	r.Log.Warn("registry_failed", "registry", s.addr, "call", call, "err", err)
 	r.mu.Lock()
@@ -153,9 +146,7 @@
 		e := decide.Event{Kind: decide.Members, List: decide.ListFailed}
 		if isTimeout(err) {
 			r.silent = true
-			if !s.quick {
-				e.Status = decide.TimedOut
-			}
+			e.Status = decide.TimedOut
 		}
 		rest = r.handle(e)
 	}
