Mutants of discovery's waits follow the divided time, first call late among them

The edits named lines that have moved. A silence taken for an outage alone now ends within the time told, since waits after an outage are short too: these mutants also lengthen the waits, as they were when the mutants were written.

--- a/internal/sim/mutant.go
+++ b/internal/sim/mutant.go
@@ -86,15 +86,17 @@
 			{"internal/protocol/upload.go", "defer close(u.ended)", "defer func() { defer func() { recover() }(); close(u.ended) }()"}}},
 		one("long-answer-cut", "an answer is passed on up to what has come with its head, and no further", "internal/protocol/answer.go",
 			"err != nil || reply.rest.over {", "err != nil || reply.rest.over || len(piece) > 0 {"),
-		one("silence-backed-off", "a watch that fell silent is taken for an outage", "decide/members.go",
-			"silent := e.List == ListFailed && e.Status == TimedOut", "silent := false"),
-		one("silence-after-refusal", "a watch that fell silent after a call that was refused is taken for an outage", "decide/members.go",
-			"silent := e.List == ListFailed && e.Status == TimedOut", "silent := e.List == ListFailed && e.Status == TimedOut && b.failures == 0"),
-		{"first-call-late", "a new process's first call for the list is spread as calls that failed are, and those over 8 s", []Edit{
-			{"decide/members.go", "most := min(b.watchSpread(), b.c.Safety.DrainGrace*4/5)", "most := b.watchSpread()"},
-			{"decide/decide.go", "watchMax     = 6 * time.Second", "watchMax     = 8 * time.Second"}}},
-		one("watch-waits-on", "a watch that fell silent is waited for much longer", "internal/protocol/registry.go",
-			"watchGrace = 750 * time.Millisecond", "watchGrace = 6 * time.Second"),
+		{"silence-backed-off", "a watch that fell silent is taken for an outage, after which discovery is left alone for long", []Edit{
+			{"decide/members.go", "silent := e.List == ListFailed && e.Status == TimedOut", "silent := false"},
+			{"decide/decide.go", "watchFirst   = 0.14", "watchFirst   = 2.0"}}},
+		{"silence-after-refusal", "the same, only where the call before the watch was refused", []Edit{
+			{"decide/members.go", "silent := e.List == ListFailed && e.Status == TimedOut",
+				"silent := e.List == ListFailed && e.Status == TimedOut && b.failures == 0"},
+			{"decide/decide.go", "watchRetry   = 0.3", "watchRetry   = 2.0"}}},
+		one("first-call-late", "a new process's first call for the list is spread over up to 8 s", "decide/members.go",
+			"min(time.Duration(b.c.Balancers)*watchSlot, b.c.Safety.DrainGrace*4/5)", "min(time.Duration(b.c.Balancers)*watchSlot, 8*time.Second)"),
+		one("watch-waits-on", "a watch that fell silent is waited for much longer", "internal/routing/times.go",
+			"shareLate  = 0.12", "shareLate  = 1.0"),
 		one("feed-alone", "where lists are pushed no second call goes out beside a silent one", "internal/routing/feed.go",
 			"} else if out <= feedCalls {", "} else if false {"),
 		{"late-calls-dropped", "after a SIGTERM's time calls are still read, and the process ends without their answers", []Edit{
