--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -154,10 +154,12 @@
 		advice = min(refusedWait, c.Decide.Limits.MaxRetryAfter)
 	}
 	worth := make([]float64, len(c.Decide.Classes))
+	longest := time.Duration(0)
 	for i, k := range c.Decide.Classes {
 		worth[i] = k.Worth
+		longest = max(longest, k.Deadline)
 	}
-	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes, Worth: worth, Advice: advice,
+	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes, Worth: worth, Longest: longest, Advice: advice,
 		Draining: draining, Closing: closing, Held: &s.held, Figures: figures, Origins: s.origins, Log: s.log}
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -44,6 +44,7 @@
 	Handler  Handler
 	Classes  []string        // class names; a class is its position
 	Worth    []float64       // of a call of each class, by which calls are refused where the processor is short; nil for all alike
+	Longest  time.Duration   // the longest deadline of the classes; ids of answered requests are remembered for at least that long
 	Advice   time.Duration   // how long a client stays away that is refused for want of room or time, 0 for no advice
 	Draining context.Context // done from the moment on which clients are steered away
 	Closing  context.Context // done when connections without a call are to end
@@ -105,10 +106,11 @@
 		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && a.late.standing() > 0:
 			a.tellLate()
 			c.refuse(call)
-		case !a.traces.take(c.head.get(headerTrace), c.started):
+		case !a.traces.take(c.head.get(headerTrace), c.started, a.Longest):
 			c.reject(&failure{409, "the id of another call"})
 		default:
 			c.serve(call)
+			a.traces.end(c.head.get(headerTrace), time.Now(), a.Longest)
 		}
 		if cap(c.body) > maxHead {
 			c.body = nil // large bodies are rare; an idle connection holds no memory for them
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -110,16 +111,56 @@
 	}
 }
 
-// An id is remembered for longer than a call may take, and not for ever.
+// An id is remembered after its request's end for as long as an attempt of it may run, and not for ever.
 func TestTraces(t *testing.T) {
+	for _, longest := range []time.Duration{0, time.Second, traceMemory, 7 * traceMemory} {
+		var a traces
+		now := time.Now()
+		memory := max(longest, traceMemory)
+		got := []bool{}
+		for _, after := range []time.Duration{0, 1, memory - 1, memory + 1, 3 * memory, 5 * memory} {
+			taken := a.take([]byte("t1"), now.Add(after), longest)
+			if got = append(got, taken); taken {
+				a.end([]byte("t1"), now.Add(after), longest)
+			}
+		}
+		if diff := cmp.Diff([]bool{true, false, false, false, true, true}, got); diff != "" || len(a.of)+len(a.old) > 2 || len(a.open) > 0 {
+			t.Errorf("longest %v: %d remembered, %d open (-want +got)\n%s", longest, len(a.of)+len(a.old), len(a.open), diff)
+		}
+	}
+}
+
+// The id of a request that is open is another client's however long that takes, and others that come and go change nothing.
+func TestTraceOfALongRequest(t *testing.T) {
+	var a traces
+	now := time.Now()
+	a.take([]byte("long"), now, 0)
+	for i := range 20 {
+		id := []byte(strconv.Itoa(i))
+		now = now.Add(traceMemory)
+		if !a.take(id, now, 0) || a.take([]byte("long"), now, 0) {
+			t.Fatalf("after %v", time.Duration(i+1)*traceMemory)
+		}
+		a.end(id, now, 0)
+	}
+	a.end([]byte("long"), now, 0)
+	if a.take([]byte("long"), now.Add(traceMemory-1), 0) || !a.take([]byte("long"), now.Add(3*traceMemory), 0) {
+		t.Error("not remembered for as long after its end")
+	}
+}
+
+// What is remembered of answered requests is bounded, and forgets none that is open.
+func TestTracesAreBounded(t *testing.T) {
 	var a traces
 	now := time.Now()
-	got := []bool{}
-	for _, after := range []time.Duration{0, 1, traceMemory - 1, traceMemory + 1, 3 * traceMemory, 5 * traceMemory} {
-		got = append(got, a.take([]byte("t1"), now.Add(after)))
+	a.take([]byte("open"), now, time.Hour)
+	for i := range 3 * mostTraces {
+		id := []byte(strconv.Itoa(i))
+		a.take(id, now, time.Hour)
+		a.end(id, now, time.Hour)
 	}
-	if diff := cmp.Diff([]bool{true, false, false, false, true, true}, got); diff != "" || len(a.of)+len(a.old) > 2 {
-		t.Errorf("%d remembered (-want +got)\n%s", len(a.of)+len(a.old), diff)
+	if n := len(a.of) + len(a.old); n > 2*mostTraces || a.take([]byte("open"), now, time.Hour) {
+		t.Errorf("%d remembered, or the open one forgotten", n)
 	}
 }
 
--- a/internal/protocol/traces.go
+++ b/internal/protocol/traces.go
@@ -6,40 +6,69 @@
 	"time"
 )
 
-// traces remembers the ids of the calls of late. An id is fresh on every call; one that comes again is another
-// client's, and passing it on would be a second copy of that client's call.
+// traces remembers the ids of the requests that are open, and of those answered of late. An id is fresh on every request;
+// one that comes again is another client's, and passing it on would be a second copy of that client's request. It is safe for
+// concurrent use.
 type traces struct {
 	mu      sync.Mutex
 	seed    maphash.Seed
+	open    map[uint64]struct{} // hashes of the ids of requests without an answer, however long that takes
 	turned  time.Time
-	of, old map[uint64]struct{} // hashes of the ids since turned, and of those before
+	of, old map[uint64]struct{} // hashes of the ids answered since turned, and of those before
 }
 
-// traceMemory is the least time for which an id is remembered, longer than a call may take.
-const traceMemory = 4 * time.Second
+const (
+	// traceMemory is the least time for which the id of an answered request is remembered. It is longer where the
+	// deadlines of the settings are: an attempt that was given up may still run, and its client may come again, until then.
+	traceMemory = 4 * time.Second
 
-// take tells whether an id is new, and remembers it.
-func (t *traces) take(id []byte, now time.Time) bool {
+	// mostTraces bounds the ids remembered of answered requests between two turns. Past it they are forgotten earlier.
+	mostTraces = 1 << 16
+)
+
+// take tells whether an id is new, and remembers it until end. longest is the settings' longest deadline.
+func (t *traces) take(id []byte, now time.Time, longest time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.of == nil {
+	if t.open == nil {
 		t.seed = maphash.MakeSeed()
+		t.open = map[uint64]struct{}{}
 	}
-	if t.of == nil || now.Sub(t.turned) >= traceMemory {
-		if now.Sub(t.turned) >= 2*traceMemory {
-			t.of = nil
-		}
-		t.of, t.old, t.turned = map[uint64]struct{}{}, t.of, now
-	}
-	h := maphash.Bytes(t.seed, id)
-	_, known := t.of[h]
-	if _, before := t.old[h]; known || before {
+	t.turn(now, max(longest, traceMemory))
+	hash := maphash.Bytes(t.seed, id)
+	_, open := t.open[hash]
+	_, recent := t.of[hash]
+	_, before := t.old[hash]
+	if open || recent || before {
 		return false
 	}
-	t.of[h] = struct{}{}
+	t.open[hash] = struct{}{}
 	return true
 }
 
+// end notes that the request of an id that was taken is over. Its id is remembered for at least longest and traceMemory
+// from now on.
+func (t *traces) end(id []byte, now time.Time, longest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	hash := maphash.Bytes(t.seed, id)
+	delete(t.open, hash)
+	t.turn(now, max(longest, traceMemory))
+	t.of[hash] = struct{}{}
+}
+
+// turn lets go of the ids that have been remembered for long enough. It is called under the lock.
+func (t *traces) turn(now time.Time, memory time.Duration) {
+	age := now.Sub(t.turned)
+	if t.of != nil && age < memory && len(t.of) < mostTraces {
+		return
+	}
+	if age >= 2*memory {
+		t.of = nil
+	}
+	t.of, t.old, t.turned = map[uint64]struct{}{}, t.of, now
+}
+
 // tally thins out a log line that others can bring about as often as they like.
 type tally struct {
 	mu   sync.Mutex
