--- a/internal/program/deployment_test.go
+++ b/internal/program/deployment_test.go
@@ -172,6 +172,23 @@
 			w2 wait
 			w3 send 200 two
 			a expect 200 two`},
+		// Backends of two zones that the settings do not name: a keyed request whose first attempt may have run stays in that
+		// attempt's zone, where nobody is left, and has failed. One attempt has gone out.
+		"zones not in the settings": {known: "0=up@pier-x 1=up@pier-y", script: `
+			a send POST /paid-extra/x id=t1 expires=1500m key=k1 body=b
+			w1 expect POST /paid-extra/x id=t1 key=k1 body=b
+			w1 send 500 no
+			a expect 502
+			operator send STATS
+			operator expect {"success":{"availability":0,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":0,"paid-extra":1},"backend_calls":1,"inflight":0,"hosts_listed":2,"hosts_down":0,"list_age_ms":T} | --`},
+		// Two backends of one such zone are one group.
+		"a zone not in the settings": {known: "0=up@pier-x 1=up@pier-x", script: `
+			a send POST /paid-extra/x id=t1 expires=1500m key=k1 body=b
+			w1 expect POST /paid-extra/x id=t1 key=k1 body=b
+			w1 send 500 no
+			w2 expect POST /paid-extra/x id=t1 key=k1 body=b
+			w2 send 200 ok
+			a expect 200 ok`},
 	} {
 		t.Run(name, func(t *testing.T) { t.Parallel(); play(t, s) })
 	}
--- a/internal/program/text_test.go
+++ b/internal/program/text_test.go
@@ -1,12 +1,13 @@
 package program
 
 import (
+	"cmp"
 	"fmt"
 	"regexp"
 	"strconv"
 	"strings"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 )
 
 const settings = `{"balancers":3,"ordinal":0,"period_us":5000,"zone":0,"zones":["hall-a","hall-b"],
@@ -84,22 +85,22 @@
 // age is the one figure that no script can foretell.
 var age = regexp.MustCompile(`"list_age_ms":\d+`)
 
-var entry = regexp.MustCompile(`(\d)=(\w+)`)
+var entry = regexp.MustCompile(`(\d)=(\w+)(?:@(\S+))?`)
 
-// list makes the registry's JSON of "GENERATION [reset] WORKER=LIFECYCLE ...".
+// list makes the registry's JSON of "GENERATION [reset] WORKER=LIFECYCLE[@ZONE] ...".
 func (st *stage) list(what string) string {
 	items := []string{}
 	for _, m := range entry.FindAllStringSubmatch(what, -1) {
 		n, _ := strconv.Atoi(m[1])
-		items = append(items, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":"hall-a","machineType":"new",
-			"cell":0,"lifecycle":%q,"weight":1.0,"startedAtMs":0}`, n, st.workers[n], m[2]))
+		items = append(items, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":%q,"machineType":"new",
+			"cell":0,"lifecycle":%q,"weight":1.0,"startedAtMs":0}`, n, st.workers[n], cmp.Or(m[3], "hall-a"), m[2]))
 	}
 	return fmt.Sprintf(`{"generation":%s,"reset":%v,"instances":[%s]}`, strings.Fields(what)[0],
 		strings.Contains(what, "reset"), strings.Join(items, ","))
 }
 
 func cmpDiff(want, got string) error {
-	if diff := cmp.Diff(want, got); diff != "" {
+	if diff := gocmp.Diff(want, got); diff != "" {
 		return fmt.Errorf("(-want +got)\n%s", diff)
 	}
 	return nil
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -250,7 +250,7 @@
 	}
 	listed := decide.Server{
 		ID: id, Started: time.Duration(i.StartedMs) * time.Millisecond, Cell: i.Cell, State: state,
-		Zone: position(r.Names.Zones, i.Zone), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
+		Zone: r.zone(i.Zone, id), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
 	}
 	state = r.Out.State(i.ID, i.Zone, state)
 	w := &worker{id: id, instance: i.ID, hall: i.Zone, peer: transport.Peer{Addr: i.Addr}, state: state, startedMs: i.StartedMs,
@@ -273,6 +273,31 @@
 	delete(r.ids, w.instance)
 }
 
+// mostStrange bounds the zones remembered that the settings do not name. Past it each backend of such a zone counts as a
+// zone of its own, which forbids a repeat elsewhere and allows none.
+const mostStrange = 1 << 10
+
+// zone is the number of a zone: its place in the settings, or one past the last that belongs to this name alone. Two zones
+// that the settings do not name must not pass for one, or the repeat of a keyed request could leave its group. Where the
+// settings name no zones at all there is one. It is called under the lock.
+func (r *Router) zone(name string, id decide.ServerID) int {
+	named := len(r.Names.Zones)
+	at := position(r.Names.Zones, name)
+	if at < named || named == 0 {
+		return at
+	}
+	number, known := r.strange[name]
+	switch {
+	case known:
+		return named + number
+	case len(r.strange) >= mostStrange:
+		return named + mostStrange + int(id)
+	}
+	number = len(r.strange)
+	r.strange[name] = number
+	return named + number
+}
+
 // position is a name's place in the settings; an unknown one gets the place after the last.
 func position(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -66,6 +66,7 @@
 	lives    uint64 // of workers' processes, so far
 	workers  map[decide.ServerID]*worker
 	up       int             // workers listed up
+	strange  map[string]int  // zones that the settings do not name, each with a number of its own, up to mostStrange
 	seen     map[string]bool // the registry's ids of workers listed since the start, up to maxSeen
 
 	source                     // where the list comes from now
@@ -81,7 +82,7 @@
 	r := &Router{
 		Config: c, origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed), source: source{addr: c.Registry},
 		calls: map[uint64]*task{}, ids: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
-		seen: map[string]bool{},
+		seen: map[string]bool{}, strange: map[string]int{},
 	}
 	for _, id := range c.Out.IDs() {
 		r.seen[id] = true
