--- a/internal/govern/govern.go
+++ b/internal/govern/govern.go
@@ -114,12 +114,18 @@
 	return out
 }
 
-// key is a hash of a call's key; false where there are no repeats by key.
+// key is a hash of a call's key and of who calls; false where there are no repeats by key. Two callers may choose the same key,
+// and what passed for one of them says nothing of the other.
 func (g *Governor) key(call *protocol.Call) (uint64, bool) {
 	if call.Origin.Key == "" || g.keys[call.Class].window <= 0 {
 		return 0, false
 	}
-	return maphash.String(g.seed, call.Origin.Key), true
+	var h maphash.Hash
+	h.SetSeed(g.seed)
+	h.WriteString(call.Origin.Caller)
+	h.WriteByte(0) // neither has one: where one ends and the other begins is certain
+	h.WriteString(call.Origin.Key)
+	return h.Sum64(), true
 }
 
 func (g *Governor) passedBefore(class int, hash uint64) bool {
--- a/internal/govern/govern_test.go
+++ b/internal/govern/govern_test.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// What has passed for one caller does not pass for another that has chosen the same key.
+func TestKeysOfTwoCallers(t *testing.T) {
+	w := governed(t, `rule */*/*#callers#a {"mode":"default","callers":["app"]}`)
+	steps := []string{w.enter(1, "app", "k1", ""), w.enter(1, "web", "k1", ""), w.enter(1, "", "appk1", ""), w.enter(1, "app", "k1", "")}
+	pass, refused := "passes 3 false 0s", fmt.Sprintf("refused %d 1s", protocol.Limited)
+	if diff := cmp.Diff([]string{pass, refused, refused, pass}, steps); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // The memory of keys is bounded, forgets by its window alone, and never remembers longer than that.
 func TestKeysAreBounded(t *testing.T) {
 	k := keys{window: time.Second}
