--- a/decide/checker_test.go
+++ b/decide/checker_test.go
@@ -67,6 +67,7 @@
 	sends    int
 	answers  int
 	outcome  func(s Server) (time.Duration, Status)
+	mirror   func(e Event, actions []Action) // shown every event and what the module does; nil for none
 }
 
 func newChecker(t *testing.T, c Config, seed uint64) *checker {
@@ -87,7 +88,11 @@
 			}
 		}
 	}
-	for _, a := range k.b.Handle(k.now, e) {
+	actions := k.b.Handle(k.now, e)
+	if k.mirror != nil {
+		k.mirror(e, actions)
+	}
+	for _, a := range actions {
 		k.action(a)
 	}
 }
--- /dev/null
+++ b/decide/drawn_test.go
@@ -0,0 +1,177 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// troubles plays random legal events for a while, and then what is still to come of them: requests of all classes, backends
+// that fail, lists that change, clients that leave.
+func (k *checker) troubles(list []Server, length time.Duration) {
+	bad := map[ServerID]int{}
+	k.outcome = func(s Server) (time.Duration, Status) {
+		switch x := k.rng.Float64(); {
+		case bad[s.ID] == 1:
+			return time.Hour, TimedOut
+		case bad[s.ID] == 2:
+			return 100 * ms, ConnectFailed
+		case x < 0.02:
+			return 30 * ms, Errored
+		case x < 0.05:
+			return 2 * ms, Full
+		case x < 0.07:
+			return 90 * ms, Reset
+		}
+		return time.Duration(20+k.rng.ExpFloat64()*100) * ms, OK
+	}
+	k.event(Event{Kind: Members, List: ListCached, Servers: list})
+	id, end := uint64(0), k.now+length
+	for k.now < end {
+		k.step()
+		for k.rng.Float64() < 0.15 {
+			id++
+			class := k.rng.IntN(len(k.c.Classes))
+			k.ask(id, class, time.Duration(1+k.rng.IntN(int(k.c.Classes[class].Deadline/ms)))*ms)
+		}
+		if k.rng.Float64() < 0.01 {
+			bad[list[k.rng.IntN(len(list))].ID] = k.rng.IntN(3)
+		}
+		k.change(list, id)
+	}
+	for range 400 + int(4*time.Second/k.c.Tick) { // longer than any drawn deadline
+		k.step()
+	}
+}
+
+// change plays one event that is no request's, or none; id is the last request's.
+func (k *checker) change(list []Server, id uint64) {
+	switch x := k.rng.Float64(); {
+	case x < 0.01: // a change: drain, go, restart
+		s := &list[k.rng.IntN(len(list))]
+		s.State = State(k.rng.IntN(3))
+		if s.State == Ready && k.rng.IntN(2) == 0 {
+			s.Started = k.now
+		}
+		k.event(Event{Kind: Members, List: ListDelta, Servers: []Server{*s}})
+	case x < 0.012: // a whole list, rarely an empty one
+		var ready []Server
+		for _, s := range list {
+			if s.State != Gone && k.rng.IntN(12) > 0 {
+				ready = append(ready, s)
+			}
+		}
+		if k.rng.IntN(4) == 0 {
+			ready = nil
+		}
+		k.event(Event{Kind: Members, List: ListFull, Servers: ready})
+	case x < 0.013:
+		k.event(Event{Kind: Members, List: ListFailed})
+	case x < 0.014 && id > 0: // a client leaves
+		if r := k.requests[id]; r != nil && !r.over {
+			r.over = true
+			k.event(Event{Kind: Left, ID: id})
+		}
+	}
+}
+
+// between draws a time from a range.
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)+1))
+}
+
+// drawConfig draws a deployment. Every effect and every group comes, on classes in any order.
+func drawConfig(rng *rand.Rand) Config {
+	c := testConfig()
+	for i := range c.Classes {
+		k := &c.Classes[i]
+		k.Deadline = between(rng, 300*ms, 4*time.Second)
+		k.Aim = between(rng, k.Deadline/8, k.Deadline)
+		k.Window = between(rng, 50*ms, 5*time.Second)
+		k.Worth = float64(1+rng.IntN(40)) / 4
+		k.LateWorth = float64(rng.IntN(3)) / 4
+	}
+	rng.Shuffle(len(c.Classes), func(i, j int) { c.Classes[i], c.Classes[j] = c.Classes[j], c.Classes[i] })
+	c.Classes = append(c.Classes, c.Classes[rng.IntN(len(c.Classes))])
+	c.Limits.MaxAttempts = 1 + rng.IntN(5)
+	c.Limits.SecondCopies, c.Limits.Cancel, c.Limits.Probe = rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(3) > 0
+	c.ConnectTime = between(rng, 0, 400*ms)
+	c.IdleClose = between(rng, time.Second, 30*time.Second)
+	c.Subscribe = rng.IntN(2) == 0
+	c.Zone = rng.IntN(3) // zone 2 holds no server
+	c.Prices.CrossZone = float64(rng.IntN(4)) / 8
+	c.Safety.FallMultiple = 2 + rng.Float64()*2
+	c.Safety.StartShare = 0.1 + rng.Float64()*0.4
+	c.Safety.WarmAfter = between(rng, 2*time.Second, 20*time.Second)
+	return c
+}
+
+// TestRulesHoldUnderDrawnSettings is TestRulesHold for deployments drawn from seeds.
+func TestRulesHoldUnderDrawnSettings(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		k := newChecker(t, drawConfig(rand.New(rand.NewPCG(seed, 2))), seed)
+		k.troubles(fleet(18), 6*time.Second)
+		if len(k.requests) > 0 || len(k.b.requests) > 0 {
+			t.Errorf("seed %d: %d requests open, %d kept by the module", seed, len(k.requests), len(k.b.requests))
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d: %+v", seed, k.c)
+		}
+	}
+}
+
+// order is where each number of a list of n stands in another order of it.
+type order []int
+
+func drawOrder(rng *rand.Rand, n int) order { return rng.Perm(n) }
+
+// numbers are the orders of classes, zones, cells and kinds in which another deployment says the same.
+type numbers struct{ classes, zones, cells, kinds order }
+
+func (n numbers) config(c Config) Config {
+	classes := make([]Class, len(c.Classes))
+	for i, k := range c.Classes {
+		classes[n.classes[i]] = k
+	}
+	c.Classes, c.Zone = classes, n.zones[c.Zone]
+	return c
+}
+
+func (n numbers) event(e Event) Event {
+	e.Class = n.classes[e.Class]
+	e.Servers = slices.Clone(e.Servers)
+	for i := range e.Servers {
+		s := &e.Servers[i]
+		s.Zone, s.Cell, s.Kind = n.zones[s.Zone], n.cells[s.Cell], n.kinds[s.Kind]
+	}
+	return e
+}
+
+// TestOrderOfSettingsDecidesNothing plays two modules with one seed the same day, where the settings of the second list the
+// classes, zones, cells and kinds in another order: what they do is the same to the last action. The module knows names by
+// their places alone, so other names change nothing either.
+func TestOrderOfSettingsDecidesNothing(t *testing.T) {
+	const zones, cells, kinds = 3, 20, 4
+	for seed := uint64(1); seed <= 25; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		c := drawConfig(rng)
+		n := numbers{drawOrder(rng, len(c.Classes)), drawOrder(rng, zones), drawOrder(rng, cells), drawOrder(rng, kinds)}
+		list := fleet(18)
+		for i := range list {
+			list[i].Kind = rng.IntN(kinds)
+		}
+		k := newChecker(t, c, seed)
+		other := New(n.config(c), seed)
+		k.mirror = func(e Event, actions []Action) {
+			if got := other.Handle(k.now, n.event(e)); len(got)+len(actions) > 0 && !reflect.DeepEqual(actions, got) {
+				t.Fatalf("seed %d, %v, %+v: in the order %+v of the settings\n%+v\nelse\n%+v", seed, k.now, e, n, got, actions)
+			}
+		}
+		k.troubles(list, 6*time.Second)
+		if k.sends < 30 {
+			t.Errorf("seed %d: only %d sends", seed, k.sends)
+		}
+	}
+}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -16,65 +16,7 @@
 		c.Subscribe = seed%4 == 0
 		c.Zone = int(seed % 3) // zone 2 holds no server
 		k := newChecker(t, c, seed)
-		bad := map[ServerID]int{}
-		k.outcome = func(s Server) (time.Duration, Status) {
-			switch x := k.rng.Float64(); {
-			case bad[s.ID] == 1:
-				return time.Hour, TimedOut
-			case bad[s.ID] == 2:
-				return 100 * ms, ConnectFailed
-			case x < 0.02:
-				return 30 * ms, Errored
-			case x < 0.05:
-				return 2 * ms, Full
-			case x < 0.07:
-				return 90 * ms, Reset
-			}
-			return time.Duration(20+k.rng.ExpFloat64()*100) * ms, OK
-		}
-		list := fleet(18)
-		k.event(Event{Kind: Members, List: ListCached, Servers: list})
-		id := uint64(0)
-		for k.now < time.Hour+20*time.Second {
-			k.step()
-			for k.rng.Float64() < 0.15 {
-				id++
-				k.ask(id, k.rng.IntN(len(c.Classes)), time.Duration(1+k.rng.IntN(1500))*ms)
-			}
-			if k.rng.Float64() < 0.01 {
-				bad[list[k.rng.IntN(len(list))].ID] = k.rng.IntN(3)
-			}
-			switch x := k.rng.Float64(); {
-			case x < 0.01: // a change: drain, go, restart
-				s := &list[k.rng.IntN(len(list))]
-				s.State = State(k.rng.IntN(3))
-				if s.State == Ready && k.rng.IntN(2) == 0 {
-					s.Started = k.now
-				}
-				k.event(Event{Kind: Members, List: ListDelta, Servers: []Server{*s}})
-			case x < 0.012: // a whole list, rarely an empty one
-				var ready []Server
-				for _, s := range list {
-					if s.State != Gone && k.rng.IntN(12) > 0 {
-						ready = append(ready, s)
-					}
-				}
-				if k.rng.IntN(4) == 0 {
-					ready = nil
-				}
-				k.event(Event{Kind: Members, List: ListFull, Servers: ready})
-			case x < 0.013:
-				k.event(Event{Kind: Members, List: ListFailed})
-			case x < 0.014 && id > 0: // a client leaves
-				if r := k.requests[id]; r != nil && !r.over {
-					r.over = true
-					k.event(Event{Kind: Left, ID: id})
-				}
-			}
-		}
-		for range 400 {
-			k.step()
-		}
+		k.troubles(fleet(18), 20*time.Second)
 		if len(k.requests) > 0 || len(k.b.requests) > 0 {
 			t.Errorf("seed %d: %d requests open, %d kept by the module", seed, len(k.requests), len(k.b.requests))
 		}
