A client's end is seen behind what it has sent ahead, and right before an attempt

Cause: serve in protocol/acceptor.go watched with Peek(1), which returns at once where a further byte lies in the buffer, and left() gave up there: an end behind a pipelined byte was not seen until the answer was out, and what was buffered was then read as the next request. The first byte of an attempt asked only t.gone, which is set once the watching goroutine has run.

Change: presence reads ahead while a request is open: the 8 KiB buffer, then one of 64 KiB; beyond that bytes are read and dropped (32 MiB at most, then the client is given up) and the connection ends after the requests that are held. routing asks Call.Present right before the first byte: one look at the socket, which reads what lies there. After a leaving was seen nothing buffered is read as a request. Every end behind 8 KiB, 64 KiB and more is seen by reading alone, so it holds on every socket layer.

Weighed: asking the kernel (poll for the peer's close, TCP_INFO) needs no buffer, but an intercepted socket layer may not answer it, and the kernel itself does not know of an end behind more bytes than its window. Left open: of a long body that no attempt has begun to read, the end is seen only where all bytes before it have been read; the look finds it there only when nothing lies before it.

--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -62,7 +62,9 @@
 type client struct {
 	*Acceptor
 	*transport.Client
-	r       *bufio.Reader
+	in      source        // what r reads from
+	small   *bufio.Reader // of the size of a head
+	r       *bufio.Reader // small, or a wider one while requests have come ahead
 	head    head
 	body    []byte
 	upload  *upload   // the rest of the body of the call at hand, nil where that is whole
@@ -81,7 +83,9 @@
 
 // Serve reads and answers one call after another until the connection ends.
 func (a *Acceptor) Serve(conn *transport.Client) {
-	c := &client{Acceptor: a, Client: conn, r: bufio.NewReaderSize(conn, maxHead)}
+	c := &client{Acceptor: a, Client: conn, in: source{conn: conn}}
+	c.small = bufio.NewReaderSize(&c.in, maxHead)
+	c.r = c.small
 	stop := context.AfterFunc(a.Closing, func() { conn.SetReadDeadline(time.Now()) })
 	defer stop()
 	for !c.closing {
@@ -100,7 +104,7 @@
 		case conn.Crowded:
 			c.closing = true
 			c.refuse(call)
-		case a.late.presses.Load() && c.left(): // nobody waits for it any more
+		case a.late.presses.Load() && !c.presence().here(): // nobody waits for it any more
 			return
 		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && a.late.standing() > 0:
 			a.tellLate()
@@ -118,6 +122,7 @@
 
 // await waits for a call's first byte. Until then the connection may be closed to make room for another.
 func (c *client) await() bool {
+	c.narrow()
 	phase, wait, limit := transport.Resting, idleTime, readTime
 	if !c.asked { // who connects and says nothing, or half of something, is owed an end in 3 s altogether
 		phase, wait, limit = transport.Silent, silentTime, readTime-time.Since(c.Begun)
@@ -270,15 +275,6 @@
 	return time.Duration(f * float64(unit)), true
 }
 
-// left tells that the client has gone already.
-func (c *client) left() bool {
-	if c.upload != nil || c.r.Buffered() > 0 || !transport.Unread(c.Conn) {
-		return false
-	}
-	_, err := c.r.Peek(1)
-	return err != nil && !isTimeout(err)
-}
-
 // tellLate logs that calls are refused for the process's own lateness.
 func (a *Acceptor) tellLate() {
 	if held, ok := a.refused.due(time.Now()); ok {
@@ -302,31 +298,29 @@
 func (c *client) serve(call *Call) {
 	c.late.begin(c.Closing)
 	defer c.late.end()
-	left, watched, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
-	call.Left = left
+	p := c.presence()
+	call.Left, call.Present = p.left, p.here
 	if c.upload == nil {
 		c.SetReadDeadline(time.Time{})
 	}
-	go func() {
-		defer close(watched)
-		if c.upload != nil && !c.upload.await(done, left) {
-			return
-		}
-		if _, err := c.r.Peek(1); err != nil && !isTimeout(err) {
-			close(left)
-		}
-	}()
+	go p.watch()
 	answer := c.Handler.Serve(call)
 	c.Figures.answered(call.Class, answer.Verdict) // before it is out: whoever has it finds it counted
-	if c.upload == nil {
-		c.answer(answer)
-		c.SetReadDeadline(time.Now())
-		<-watched
+	if c.upload != nil {
+		c.finishUpload(p, answer)
 		return
 	}
+	c.closing = c.closing || p.hasLeft()
+	c.answer(answer)
+	p.end()
+	c.closing = c.closing || p.hasLeft() // what it has sent ahead is not read as a request
+}
+
+// finishUpload answers a call of which some may not have been read.
+func (c *client) finishUpload(p *presence, answer Answer) {
 	err := c.upload.state()
 	if err == nil {
-		c.closing = c.last()
+		c.closing = c.last() || p.hasLeft()
 	}
 	rejected := err != nil && err != errUnread
 	if rejected {
@@ -335,8 +329,8 @@
 		c.answer(answer)
 	}
 	c.upload.stop()
-	close(done)
-	<-watched
+	p.end()
+	c.closing = c.closing || p.hasLeft()
 	if err != nil && !rejected && c.Enter(transport.Lingering) {
 		c.absorb()
 	}
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -18,6 +18,7 @@
 	Write   bool
 	Message Message
 	Left    <-chan struct{} // closed when the client has left
+	Present func() bool     // looks whether the client is there; after a false Left is closed, or the call over; nil: nobody can tell
 	Upload  Upload          // the rest of a long message; nil where that is whole
 	Origin  *Origin         // what rules go by; nil where nobody asks
 }
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -131,15 +131,14 @@
 }
 
 // await waits for the end of the message. It returns true once that has come, been passed on, and the connection is free
-// to be watched; it closes left and returns false where the client has failed, and returns false once done is closed.
-func (u *upload) await(done, left chan struct{}) bool {
+// to be watched. It returns an error where the client has failed, and false once done is closed.
+func (u *upload) await(done <-chan struct{}) (bool, error) {
 	select {
 	case <-u.whole:
 	case <-u.failed:
-		close(left)
-		return false
+		return false, u.err
 	case <-done:
-		return false
+		return false, nil
 	}
 	<-u.ended
 	u.mu.Lock()
@@ -147,7 +146,7 @@
 	if !u.stopped {
 		u.conn.SetReadDeadline(time.Time{})
 	}
-	return !u.stopped
+	return !u.stopped, nil
 }
 
 // errUnread says that some of a message has not been read.
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -92,6 +92,11 @@
 	if call.Upload != nil {
 		whole = call.Upload.Whole()
 	}
+	leave := func() {
+		left = nil
+		t.gone.Store(true)
+		r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegations off
+	}
 	for {
 		select {
 		case a := <-t.orders:
@@ -130,6 +135,9 @@
 			at := slices.IndexFunc(out, func(d *delegation) bool { return d.try == result.Tag })
 			d := out[at]
 			out = slices.Delete(out, at, at+1)
+			if left != nil && t.gone.Load() { // seen right before the first byte
+				leave()
+			}
 			d.fresh, d.whole = result.Sent && !result.Kept, result.Err == nil
 			status := d.status(result, left == nil)
 			t.ran = t.ran || mayHaveRun(status)
@@ -168,9 +176,7 @@
 			}
 
 		case <-left:
-			left = nil
-			t.gone.Store(true)
-			r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegations off
+			leave()
 
 		case <-overdue.C:
 			if t.extend(out); time.Now().Before(t.end) {
@@ -254,10 +260,18 @@
 		d.Delegation = protocol.Revoked(transport.ErrRevoked, back)
 		return d
 	}
-	d.Delegation = r.Workers.Start(w.peer, t.call.Message, d.end.Sub(now), func() bool { return !t.gone.Load() && r.still(w) }, back)
+	d.Delegation = r.Workers.Start(w.peer, t.call.Message, d.end.Sub(now), func() bool { return r.still(w) && t.present() }, back)
 	return d
 }
 
+// present tells, right before an attempt's first byte, that the client has not left.
+func (t *task) present() bool {
+	if !t.gone.Load() && t.call.Present != nil && !t.call.Present() {
+		t.gone.Store(true)
+	}
+	return !t.gone.Load()
+}
+
 // outcome is the module's event for how a delegation ended.
 func (t *task) outcome(d *delegation, status decide.Status, over bool) decide.Event {
 	e := decide.Event{Kind: decide.Outcome, ID: t.id, Attempt: d.try, Server: d.worker, Status: status, Done: over}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -100,6 +100,7 @@
 	Crowded bool      // beyond the limit: to be told to come back, not to be served
 
 	listener *Listener
+	socket   Socket      // the connection as one that can be asked; nil where it cannot
 	waiting  atomic.Bool // its goroutine waits for bytes, so that it holds none that it has not dealt with
 	phase    Phase       // guarded by the listener's mutex, like all below
 	since    time.Time
@@ -137,7 +138,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &Client{Conn: conn, Begun: time.Now(), listener: l}
+		c := &Client{Conn: conn, socket: asSocket(conn), Begun: time.Now(), listener: l}
 		l.slots <- struct{}{}
 		l.serving.Go(func() {
 			defer l.release(c)
--- a/internal/transport/system.go
+++ b/internal/transport/system.go
@@ -59,20 +59,47 @@
 	return err == nil && errors.Is(state, syscall.EAGAIN)
 }
 
-// quiet tells that nothing has come on a client's connection that has not been read, where that can be told.
-func quiet(c net.Conn) (is, told bool) {
-	if q, ok := c.(interface{ Quiet() bool }); ok {
-		return q.Quiet(), true
+// Pending looks at the connection without waiting.
+func (s *socket) Pending() Pending {
+	state := error(nil)
+	err := s.raw.Control(func(fd uintptr) { state = peek(fd) })
+	switch {
+	case err != nil:
+		return End // closed on this side
+	case state == nil:
+		return Bytes
+	case errors.Is(state, syscall.EAGAIN):
+		return Nothing
+	}
+	return End
+}
+
+// asSocket is a client's connection as a Socket, nil where it is none.
+func asSocket(c net.Conn) Socket {
+	if s, ok := c.(Socket); ok {
+		return s
 	}
 	t, ok := c.(*net.TCPConn)
 	if !ok {
-		return false, false
+		return nil
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
+		return nil
+	}
+	return &socket{t, raw}
+}
+
+// quiet tells that nothing has come on a client's connection that has not been read, where that can be told.
+func quiet(c net.Conn) (is, told bool) {
+	if q, ok := c.(interface{ Quiet() bool }); ok {
+		return q.Quiet(), true
+	}
+	s := asSocket(c)
+	if s == nil {
 		return false, false
 	}
-	return (&socket{t, raw}).Quiet(), true
+	return s.Quiet(), true
 }
 
 // peek returns nil where there are bytes to read, EAGAIN where there is nothing yet.
