--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	@unformatted=$$(gofmt -l cmd decide internal wire); \
 	if [ -n "$$unformatted" ]; then echo "not gofmt clean: $$unformatted"; exit 1; fi
 	go vet ./...
+	go tool staticcheck ./...
 
 # Needs the EDGE_ variables; README.md says which.
 run: build
--- a/decide/checker_test.go
+++ b/decide/checker_test.go
@@ -39,13 +39,12 @@
 
 // The checker below knows the rules from their wording and nothing of the module's state.
 type seenAttempt struct {
-	server   Server
-	sent     time.Duration
-	open     bool
-	mayRan   bool
-	deadline time.Duration
-	at       time.Duration // when its outcome is due
-	status   Status
+	server Server
+	sent   time.Duration
+	open   bool
+	mayRan bool
+	at     time.Duration // when its outcome is due
+	status Status
 }
 
 type seenRequest struct {
--- a/internal/cluster/api/follow.go
+++ b/internal/cluster/api/follow.go
@@ -36,6 +36,7 @@
 // FullError is a source without a free place.
 type FullError struct{ Try []Peer } // its own followers
 
+// Error implements error.
 func (e *FullError) Error() string {
 	return fmt.Sprintf("no free place; it names %d others", len(e.Try))
 }
--- a/internal/cluster/voter/cluster_test.go
+++ b/internal/cluster/voter/cluster_test.go
@@ -32,7 +32,6 @@
 	nodes   []*node
 	timings Timings
 	limits  func(record.View) []lease.Limit
-	start   time.Time
 
 	mu    sync.Mutex
 	cut   map[[2]string]bool // from, to: whose calls do not get through
--- a/internal/cluster/voter/fsm.go
+++ b/internal/cluster/voter/fsm.go
@@ -108,13 +108,6 @@
 	return api.AgeUnknown
 }
 
-// reached is the index of the last entry that has been applied, of those that raft hands on.
-func (f *fsm) reached() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.index
-}
-
 // Apply implements raft.FSM.
 func (f *fsm) Apply(l *raft.Log) any { return f.ApplyBatch([]*raft.Log{l})[0] }
 
--- a/internal/clustertest/faults/faults.go
+++ b/internal/clustertest/faults/faults.go
@@ -63,6 +63,7 @@
 // End is when the fault ends.
 func (f Fault) End() time.Duration { return f.At + f.For }
 
+// String is the fault as a line of a schedule.
 func (f Fault) String() string {
 	text := fmt.Sprintf("%6.2fs to %6.2fs  %-8s %s", f.At.Seconds(), f.End().Seconds(), f.Kind, strings.Join(append([]string{f.Target}, f.Side...), ","))
 	if len(f.Others) > 0 {
@@ -252,6 +253,7 @@
 	return of
 }
 
+// String is the whole schedule, a line for each fault.
 func (p *Plan) String() string {
 	text := fmt.Sprintf("seed %d: %v, %d voters, %d observers, %d clients with %v between calls, small bounds %v, limits %v\n", p.Seed, p.Length, len(p.Voters),
 		len(p.Observers), p.Clients, p.Gap, p.Small, p.Limits)
--- a/internal/clustertest/history/history.go
+++ b/internal/clustertest/history/history.go
@@ -110,6 +110,7 @@
 	Text    string
 }
 
+// String is the breach as a report's line.
 func (b Breach) String() string {
 	return fmt.Sprintf("%s at %.3fs: %s", b.Promise, b.At.Seconds(), b.Text)
 }
--- a/internal/clustertest/leases/leases.go
+++ b/internal/clustertest/leases/leases.go
@@ -40,6 +40,7 @@
 	Holders  string // who held how much
 }
 
+// String is the excess as a report's line.
 func (o Over) String() string {
 	return fmt.Sprintf("%s: %d out of %d at %d us: %s", o.Limit, o.Out, o.Max, o.At, o.Holders)
 }
--- a/internal/clustertest/measure/writer.go
+++ b/internal/clustertest/measure/writer.go
@@ -78,7 +78,7 @@
 	defer cancel()
 	one := written{Key: key, Began: monotonic()}
 	var result record.Result
-	err := ctx.Err()
+	var err error
 	for {
 		at := w.members[(n+one.Tries)%len(w.members)]
 		one.Tries++
--- a/internal/clustertest/mutants/mutants.go
+++ b/internal/clustertest/mutants/mutants.go
@@ -42,6 +42,7 @@
 	Journal string
 }
 
+// String is the result as a report's line.
 func (f *Found) String() string {
 	name := f.Mutant.Name
 	if f.Mutant.Plan != nil {
--- a/internal/clustertest/run/member.go
+++ b/internal/clustertest/run/member.go
@@ -40,7 +40,6 @@
 	wanted bool // it is being ended by the test
 	downs  int  // faults that want it down
 	stops  int  // faults that want it stopped
-	hurt   time.Duration
 	lives  int
 	turns  int // starts and stops
 }
--- a/internal/clustertest/run/run.go
+++ b/internal/clustertest/run/run.go
@@ -43,6 +43,7 @@
 // Bad tells whether a promise was broken.
 func (o *Outcome) Bad() bool { return len(o.Breaches) > 0 }
 
+// String is the outcome as a report's line.
 func (o *Outcome) String() string {
 	verdict := "passed"
 	if o.Bad() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,7 @@
 	Text         string
 }
 
+// Error implements error.
 func (f Fault) Error() string {
 	at := f.File
 	if f.Line > 0 {
@@ -47,6 +48,7 @@
 // Faults is all that is wrong with a file, in the order of the text.
 type Faults []Fault
 
+// Error implements error: each fault on a line of its own.
 func (fs Faults) Error() string {
 	if len(fs) == 1 {
 		return fs[0].Error()
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -93,6 +93,7 @@
 	Text    string        `json:"text"`
 }
 
+// String is the violation as a report's line.
 func (v Violation) String() string {
 	return fmt.Sprintf("%8.3fs %-8s n%d %s", v.At.Seconds(), v.Rule, v.Sidecar, v.Text)
 }
--- a/internal/lab/world/registry.go
+++ b/internal/lab/world/registry.go
@@ -15,6 +15,7 @@
 	Up
 )
 
+// String is the state's name as lists write it.
 func (s State) String() string { return [...]string{"removed", "draining", "up"}[s] }
 
 // Entry is one worker in the registry's list.
--- a/internal/lab/world/worker.go
+++ b/internal/lab/world/worker.go
@@ -166,8 +166,10 @@
 func (w *Worker) slots() int { return w.kind.Slots * w.kind.Cores }
 func (w *Worker) room() int  { return w.slots() + w.kind.Queue*w.kind.Cores }
 
-// Held is the number of calls in work and waiting, and Waiting of the latter.
-func (w *Worker) Held() int    { return len(w.jobs) }
+// Held is the number of requests in work and waiting.
+func (w *Worker) Held() int { return len(w.jobs) }
+
+// Waiting is the number of requests that wait for a slot.
 func (w *Worker) Waiting() int { return len(w.jobs) - w.running }
 
 // rate is the seconds of work that one running job gets in a second.
--- a/internal/retire/codec.go
+++ b/internal/retire/codec.go
@@ -19,6 +19,7 @@
 	Version string
 }
 
+// String is the key as orders and refusals write it.
 func (k Key) String() string { return k.In.String() + "@" + k.Version }
 
 // ParseKey reads NAMESPACE@VERSION.
--- a/internal/retire/moves.go
+++ b/internal/retire/moves.go
@@ -11,6 +11,7 @@
 // NoMove says that a move cannot be made; its text has the reason.
 type NoMove struct{ Why string }
 
+// Error implements error.
 func (e NoMove) Error() string { return e.Why }
 
 // moved is the stage after a move, from the timeline, the sums and the record's time alone. m has its stamp and reason. The moves of the cluster
--- a/internal/rules/selector.go
+++ b/internal/rules/selector.go
@@ -136,6 +136,7 @@
 	Name    string
 }
 
+// String is the key as refusals write it.
 func (k RuleKey) String() string { return k.In.String() + "#" + string(k.Setting) + "#" + k.Name }
 
 // ParseRuleKey reads the key of a rule's item.
--- a/internal/sim/memnet/conn.go
+++ b/internal/sim/memnet/conn.go
@@ -270,7 +270,9 @@
 }
 
 // LocalAddr and RemoteAddr name the sides; only what was dialled has a name of its own.
-func (c *Conn) LocalAddr() net.Addr  { return c.local }
+func (c *Conn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
 func (c *Conn) RemoteAddr() net.Addr { return c.remote }
 
 // SetDeadline sets both deadlines.
--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -110,7 +110,6 @@
 
 // recorder writes the trace: one line for each thing that happened, in order.
 type recorder struct {
-	keep bool
 	hash interface {
 		io.Writer
 		Sum64() uint64
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -27,6 +27,7 @@
 	Text string
 }
 
+// Error implements error.
 func (e SettingError) Error() string { return "setting " + e.Key + ": " + e.Text }
 
 // ParseSettings reads the settings of a launch. Keys that it does not know are skipped; an absent optional
