--- /dev/null
+++ b/wire/record.go
@@ -0,0 +1,107 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+
+	"burlpass/decide"
+)
+
+func (d *Decoder) census(c *cursor) error {
+	id := c.u8()
+	n := c.u32()
+	if c.short || uint64(n)*entrySize != uint64(len(c.b)) {
+		return fmt.Errorf("%d entries do not match %d bytes", n, len(c.b))
+	}
+	if id >= maxLists {
+		return fmt.Errorf("list number %d is over %d", id, maxLists-1)
+	}
+	list := make([]decide.Server, n)
+	for i := range list {
+		s := &list[i]
+		s.ID = decide.ServerID(c.u32())
+		started := c.u64()
+		if started > maxClock {
+			return fmt.Errorf("entry %d: start time %d is out of range", i, started)
+		}
+		s.Started = micros(started)
+		s.Zone, s.Cell = int(c.u16()), int(c.u16())
+		s.State = decide.State(c.u8())
+		s.Kind = int(c.u16())
+		s.Nominal = float64(math.Float32frombits(c.u32()))
+		if s.State > decide.Ready {
+			return fmt.Errorf("entry %d: unknown stage_state %d", i, s.State)
+		}
+	}
+	d.lists[id], d.known[id] = list, true
+	return nil
+}
+
+func (d *Decoder) record(code byte, c *cursor, rec *Record) error {
+	e := &rec.Event
+	name := ""
+	switch code {
+	case evLaunch:
+		name, rec.Op = "launch", Launch
+		rec.Seed = c.u64()
+		rec.Settings = c.bytes(int64(c.u32()))
+	case evDown:
+		name, rec.Op = "down", Down
+	case evMembers:
+		name, e.Kind = "peers_known", decide.Members
+		form, id := c.u8(), c.u8()
+		e.List, e.Version = decide.ListKind(form), c.u64()
+		if form > uint8(decide.ListCached) {
+			return fmt.Errorf("peers_known: unknown form %d", form)
+		}
+		if e.List != decide.ListFailed && !c.short {
+			if id >= maxLists || !d.known[id] {
+				return fmt.Errorf("peers_known: list number %d was never sent", id)
+			}
+			e.Servers = d.lists[id]
+		}
+	case evRequest:
+		name, e.Kind = "ask", decide.Request
+		e.ID, e.Key = c.u64(), c.u64()
+		e.Class, e.Budget, e.Tenant = int(c.u8()), micros(uint64(c.u32())), int(c.u32())
+		work, bits := micros(uint64(c.u32())), c.u16()
+		if bits&bitHint != 0 {
+			e.Work = work
+		}
+		e.Repeat, e.Write = bits&bitRepeat != 0, bits&bitWrite != 0
+	case evFirst:
+		name, e.Kind = "flowing", decide.First
+		c.attempt(e)
+		e.Latency = micros(uint64(c.u32()))
+	case evOutcome:
+		name, e.Kind = "closed_attempt", decide.Outcome
+		c.attempt(e)
+		e.Status, e.Latency = decide.Status(c.u16()), micros(uint64(c.u32()))
+		e.Done = c.u8() != 0
+		e.Load = c.floats()
+	case evProbed:
+		name, e.Kind = "status_back", decide.Probed
+		e.Server = decide.ServerID(c.u32())
+		e.Status, e.Latency = decide.Status(c.u16()), micros(uint64(c.u32()))
+		e.Load = c.floats()
+	case evLeft:
+		name, e.Kind = "abandoned", decide.Left
+		e.ID = c.u64()
+	case evTimer:
+		name, e.Kind = "elapsed", decide.Timer
+		e.Token = c.u64()
+	case evPeer:
+		name, e.Kind = "inbox", decide.Peer
+		e.From = int(c.u16())
+		e.Data = c.bytes(int64(c.u16()))
+	default:
+		return fmt.Errorf("unknown code %d", code)
+	}
+	if err := c.end(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	if e.Status > decide.Moot {
+		return fmt.Errorf("%s: unknown outcome %d", name, e.Status)
+	}
+	return nil
+}
