Every end of a client's connection is a shutdown, a bounded drain and a close

Cause: only reject lingered (protocol/answer.go). An answer with Connection: close, the idle end, the end of resting connections at SIGTERM and the operators' drain (CloseResting in transport/listen.go) closed at once; over unread bytes the kernel then sends a reset, which can overtake the answer.

Change: client.finish ends the sending, reads and drops at most 500 ms and 256 KiB (50 ms where the process ends, or on a spare connection that was only told to come back), then the listener closes. The connection is in the phase Lingering meanwhile, which gives way to a new client at once. CloseResting ends the waits, and the connections' own goroutines end them in order. Not so where the client has left or broken off, or where a cut answer must be seen as such. Eviction for room still closes at once: its descriptor is wanted then, and only a connection on whose socket nothing lies is taken.

Ruled out: answers held back by the system: Go sets TCP_NODELAY, and nothing here unsets it.

--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -71,6 +71,7 @@
 	started time.Time // of the call's first byte
 	asked   bool      // there has been a call before
 	closing bool      // no further call on this connection
+	broken  bool      // nothing is owed to the client any more, or it must see that an answer is not whole
 }
 
 // failure is an answer that needs no handler.
@@ -81,13 +82,21 @@
 
 func (f *failure) Error() string { return f.text }
 
-// Serve reads and answers one call after another until the connection ends.
+// Serve reads and answers one call after another until the connection is to end, and ends it in order. The listener closes
+// it when Serve returns.
 func (a *Acceptor) Serve(conn *transport.Client) {
 	c := &client{Acceptor: a, Client: conn, in: source{conn: conn}}
 	c.small = bufio.NewReaderSize(&c.in, maxHead)
 	c.r = c.small
 	stop := context.AfterFunc(a.Closing, func() { conn.SetReadDeadline(time.Now()) })
 	defer stop()
+	c.run()
+	c.finish()
+}
+
+// run reads and answers one call after another.
+func (c *client) run() {
+	a := c.Acceptor
 	for !c.closing {
 		if !c.await() {
 			return
@@ -101,7 +110,7 @@
 			c.reject(err)
 		case call == nil:
 			c.health()
-		case conn.Crowded:
+		case c.Crowded:
 			c.closing = true
 			c.refuse(call)
 		case a.late.presses.Load() && !c.presence().here(): // nobody waits for it any more
@@ -313,7 +322,8 @@
 	c.closing = c.closing || p.hasLeft()
 	c.answer(answer)
 	p.end()
-	c.closing = c.closing || p.hasLeft() // what it has sent ahead is not read as a request
+	c.broken = c.broken || p.hasLeft()
+	c.closing = c.closing || c.broken // what it has sent ahead is not read as a request
 }
 
 // finishUpload answers a call of which some may not have been read.
@@ -330,7 +340,8 @@
 	}
 	c.upload.stop()
 	p.end()
-	c.closing = c.closing || p.hasLeft()
+	c.broken = c.broken || p.hasLeft() && !rejected
+	c.closing = c.closing || c.broken
 	if err != nil && !rejected && c.Enter(transport.Lingering) {
 		c.absorb()
 	}
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -1,7 +1,6 @@
 package protocol
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -25,6 +24,7 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
+	c.broken = true // its end is out already
 	end := time.Now().Add(absorbTime)
 	for n := 0; n < MaxBody && time.Now().Before(end) && c.Closing.Err() == nil; {
 		c.SetReadDeadline(time.Now().Add(absorbStep))
@@ -54,7 +54,7 @@
 	case isTimeout(err):
 		f = &failure{408, "call not whole in time"}
 	default: // the client broke off
-		c.closing = true
+		c.closing, c.broken = true, true
 		return
 	}
 	if held, ok := c.rejected.due(time.Now()); ok {
@@ -62,23 +62,34 @@
 	}
 	c.closing = c.closing || c.Tight()
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
-	if c.closing && c.Enter(transport.Lingering) {
-		linger(c.Conn, c.r)
-	}
 }
 
-// lingerTime and lingerBytes bound how much of a rejected message is still read.
+// Bounds of what is still read of a client after the end has been sent to it.
 const (
 	lingerTime  = 500 * time.Millisecond
+	lingerShort = 50 * time.Millisecond // where the process ends, or the connection is one of the few spare ones
 	lingerBytes = 256 << 10
 )
 
-// linger reads on for a little while after the last answer: closing with unread bytes would reset the
-// connection, and the reset can overtake the answer.
-func linger(conn net.Conn, r *bufio.Reader) {
-	if half, ok := conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		conn.SetReadDeadline(time.Now().Add(lingerTime))
-		r.Discard(lingerBytes)
+// finish ends a connection in order: it ends the sending, so that the client sees an end behind all answers, then reads on
+// for a while until the client has closed too. Closing over unread bytes would reset the connection, and the reset can
+// overtake an answer. What is read here is dropped. Meanwhile the connection may be closed to make room for another.
+func (c *client) finish() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.broken || !ok || !c.Enter(transport.Lingering) || half.CloseWrite() != nil {
+		return
+	}
+	wait := lingerTime
+	if c.Crowded || c.Closing.Err() != nil {
+		wait = lingerShort
+	}
+	c.SetReadDeadline(time.Now().Add(wait))
+	piece := make([]byte, dropPiece)
+	for n := 0; n < lingerBytes; {
+		m, err := c.Client.Read(piece)
+		if n += m; err != nil {
+			return
+		}
 	}
 }
 
@@ -147,7 +158,8 @@
 	out := net.Buffers{[]byte(statusLines[status]), header, []byte(tail + "\r\n"), body}
 	c.SetWriteDeadline(time.Now().Add(writeTime))
 	_, err := out.WriteTo(c.Conn)
-	c.closing = c.closing || err != nil
+	c.broken = c.broken || err != nil
+	c.closing = c.closing || c.broken
 	return err == nil
 }
 
@@ -181,14 +193,15 @@
 		}
 		c.SetWriteDeadline(time.Now().Add(relayTime))
 		if _, err := out.WriteTo(c.Conn); err != nil || reply.rest.over {
-			c.closing = c.closing || err != nil
+			c.broken = c.broken || err != nil
+			c.closing = c.closing || c.broken
 			reply.Rest.Close(err == nil && reply.reuse)
 			return err == nil
 		}
 		reply.Rest.SetDeadline(time.Now().Add(relayTime))
 		n, err := reply.rest.Read(buf)
 		if err != nil && err != io.EOF {
-			c.closing = true
+			c.closing, c.broken = true, true
 			reply.Rest.Close(false)
 			if reset, ok := c.Conn.(interface{ SetLinger(int) error }); ok && !chunked && reply.Length < 0 {
 				reset.SetLinger(0) // its end would else look like the answer's
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -278,23 +278,17 @@
 	return float64(l.open-l.phases[Silent].Len()-l.phases[Lingering].Len()) > tightShare*float64(l.limit)
 }
 
-// CloseResting closes the connections that rest between two calls, as a sidecar that is drained does: their
-// clients are to go elsewhere, and nothing of theirs is open here. It returns how many it closed. One whose next call has
-// come already gets its answer first.
+// CloseResting ends the wait of the connections that rest between two calls, as a sidecar that is drained does: their
+// clients are to go elsewhere, and nothing of theirs is open here. Whoever serves them ends them in order; one whose next
+// call has come already gets its answer first. It returns how many there are.
 func (l *Listener) CloseResting() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
-	for e := l.phases[Resting].Front(); e != nil; {
-		c := e.Value.(*Client)
-		if e = e.Next(); c.idle() {
-			l.end(c)
-			n++
-		} else {
-			c.SetReadDeadline(time.Now()) // whatever has come is read all the same
-		}
+	resting := &l.phases[Resting]
+	for e := resting.Front(); e != nil; e = e.Next() {
+		e.Value.(*Client).SetReadDeadline(time.Now()) // whatever has come is read all the same
 	}
-	return n
+	return resting.Len()
 }
 
 // Close stops listening; connections go on.
