--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	if [ -n "$$unformatted" ]; then echo "not gofmt clean: $$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
+	go run ./internal/sourcecheck
 
 # Needs the EDGE_ variables; README.md says which.
 run: build
