--- a/wire/decoder.go
+++ b/wire/decoder.go
@@ -76,7 +76,7 @@
 	}
 	now := micros(clock)
 	rest := d.buf
-	inst, addressed := uint16(0), false
+	instance, addressed := uint16(0), false
 	var rec Record
 	for i := uint32(0); i < count; i++ {
 		if len(rest) < 5 {
@@ -90,14 +90,14 @@
 		c := cursor{b: rest[5 : 5+n]}
 		rest = rest[5+n:]
 		switch code {
-		case evTarget:
-			inst, addressed = c.u16(), true
+		case eventTarget:
+			instance, addressed = c.u16(), true
 			if err := c.end(); err != nil {
 				return 0, fmt.Errorf("record %d (target_instance): %w", i, err)
 			}
 			continue
-		case evCensus:
-			if err := d.census(&c); err != nil {
+		case eventServerList:
+			if err := d.serverList(&c); err != nil {
 				return 0, fmt.Errorf("record %d (census): %w", i, err)
 			}
 			continue
@@ -105,8 +105,8 @@
 		if !addressed {
 			return 0, fmt.Errorf("record %d (code %d): no target_instance before it", i, code)
 		}
-		rec = Record{Op: Deliver, Instance: inst}
-		if err := d.record(code, &c, &rec); err != nil {
+		rec = Record{Op: Deliver, Instance: instance}
+		if err := d.decode(code, &c, &rec); err != nil {
 			return 0, fmt.Errorf("record %d: %w", i, err)
 		}
 		if err := f(now, &rec); err != nil {
--- a/wire/encoder.go
+++ b/wire/encoder.go
@@ -11,10 +11,10 @@
 
 // Encoder builds one reply at a time.
 type Encoder struct {
-	buf   []byte
-	count uint32
-	inst  uint16
-	named bool
+	buf      []byte
+	count    uint32
+	instance uint16
+	named    bool
 }
 
 // Reset starts an empty reply.
@@ -25,15 +25,15 @@
 // Actions adds what an instance does.
 func (e *Encoder) Actions(inst uint16, list []decide.Action) {
 	for i := range list {
-		e.speaker(inst)
+		e.address(inst)
 		e.action(&list[i])
 	}
 }
 
 // Bug adds the fault of an instance whose decision code has failed.
 func (e *Encoder) Bug(inst uint16, text string) {
-	e.speaker(inst)
-	e.text(acBug, text)
+	e.address(inst)
+	e.text(actionBug, text)
 }
 
 // Bytes returns the finished reply; it stays valid until Reset.
@@ -43,60 +43,60 @@
 	return e.buf
 }
 
-func (e *Encoder) speaker(inst uint16) {
-	if e.named && e.inst == inst {
+func (e *Encoder) address(inst uint16) {
+	if e.named && e.instance == inst {
 		return
 	}
-	e.inst, e.named = inst, true
-	e.head(acSpeaker, 2)
+	e.instance, e.named = inst, true
+	e.head(actionInstance, 2)
 	e.u16(inst)
 }
 
 func (e *Encoder) action(a *decide.Action) {
 	switch a.Kind {
 	case decide.Send:
-		e.head(acSend, 16)
+		e.head(actionSend, 16)
 		e.u64(a.ID)
 		e.u32(uint32(a.Server))
 		e.u32(toMicros(a.Timeout))
 	case decide.Refuse:
-		e.head(acRefuse, 12)
+		e.head(actionRefuse, 12)
 		e.u64(a.ID)
 		e.u32(toMicros(a.Wait))
 	case decide.Fail:
-		e.head(acFail, 8)
+		e.head(actionFail, 8)
 		e.u64(a.ID)
 	case decide.Cancel:
-		e.head(acCancel, 10)
+		e.head(actionCancel, 10)
 		e.u64(a.ID)
 		e.u16(uint16(a.Attempt))
 	case decide.Probe:
-		e.head(acProbe, 4)
+		e.head(actionProbe, 4)
 		e.u32(uint32(a.Server))
 	case decide.Close:
-		e.head(acClose, 4)
+		e.head(actionClose, 4)
 		e.u32(uint32(a.Server))
 	case decide.Wake:
-		e.head(acWake, 12)
+		e.head(actionTimer, 12)
 		e.u32(toMicros(a.Wait))
 		e.u64(a.Token)
 	case decide.Watch:
-		e.head(acWatch, 1)
-		e.buf = append(e.buf, b2u(a.On))
+		e.head(actionWatch, 1)
+		e.buf = append(e.buf, boolByte(a.On))
 	case decide.Fetch:
-		e.head(acFetch, 0)
+		e.head(actionFetch, 0)
 	case decide.Tell:
 		to := uint16(math.MaxUint16)
 		if a.To >= 0 {
 			to = uint16(a.To)
 		}
 		data := a.Data[:min(len(a.Data), math.MaxUint16)]
-		e.head(acTell, 4+len(data))
+		e.head(actionPeerMessage, 4+len(data))
 		e.u16(to)
 		e.u16(uint16(len(data)))
 		e.buf = append(e.buf, data...)
 	case decide.Log:
-		e.text(acLog, a.Text)
+		e.text(actionLog, a.Text)
 	default:
 		panic(fmt.Sprintf("wire: unknown action kind %d", a.Kind))
 	}
@@ -125,7 +125,7 @@
 	return uint32(min(us, math.MaxUint32))
 }
 
-func b2u(b bool) byte {
+func boolByte(b bool) byte {
 	if b {
 		return 1
 	}
--- a/wire/record.go
+++ b/wire/record.go
@@ -7,7 +7,7 @@
 	"burlpass/decide"
 )
 
-func (d *Decoder) census(c *cursor) error {
+func (d *Decoder) serverList(c *cursor) error {
 	id := c.u8()
 	n := c.u32()
 	if c.short || uint64(n)*entrySize != uint64(len(c.b)) {
@@ -37,17 +37,17 @@
 	return nil
 }
 
-func (d *Decoder) record(code byte, c *cursor, rec *Record) error {
+func (d *Decoder) decode(code byte, c *cursor, rec *Record) error {
 	e := &rec.Event
 	name := ""
 	switch code {
-	case evLaunch:
+	case eventInstanceLaunch:
 		name, rec.Op = "launch", Launch
 		rec.Seed = c.u64()
 		rec.Settings = c.bytes(int64(c.u32()))
-	case evDown:
+	case eventInstanceDown:
 		name, rec.Op = "down", Down
-	case evMembers:
+	case eventDiscovery:
 		name, e.Kind = "peers_known", decide.Members
 		form, id := c.u8(), c.u8()
 		e.List, e.Version = decide.ListKind(form), c.u64()
@@ -60,7 +60,7 @@
 			}
 			e.Servers = d.lists[id]
 		}
-	case evRequest:
+	case eventRequest:
 		name, e.Kind = "ask", decide.Request
 		e.ID, e.Key = c.u64(), c.u64()
 		e.Class, e.Budget, e.Tenant = int(c.u8()), micros(uint64(c.u32())), int(c.u32())
@@ -69,28 +69,28 @@
 			e.Work = work
 		}
 		e.Repeat, e.Write = bits&bitRepeat != 0, bits&bitWrite != 0
-	case evFirst:
+	case eventFirstByte:
 		name, e.Kind = "flowing", decide.First
 		c.attempt(e)
 		e.Latency = micros(uint64(c.u32()))
-	case evOutcome:
+	case eventAttemptEnded:
 		name, e.Kind = "closed_attempt", decide.Outcome
 		c.attempt(e)
 		e.Status, e.Latency = decide.Status(c.u16()), micros(uint64(c.u32()))
 		e.Done = c.u8() != 0
 		e.Load = c.floats()
-	case evProbed:
+	case eventProbeResult:
 		name, e.Kind = "status_back", decide.Probed
 		e.Server = decide.ServerID(c.u32())
 		e.Status, e.Latency = decide.Status(c.u16()), micros(uint64(c.u32()))
 		e.Load = c.floats()
-	case evLeft:
+	case eventClientLeft:
 		name, e.Kind = "abandoned", decide.Left
 		e.ID = c.u64()
-	case evTimer:
+	case eventTimer:
 		name, e.Kind = "elapsed", decide.Timer
 		e.Token = c.u64()
-	case evPeer:
+	case eventPeerMessage:
 		name, e.Kind = "inbox", decide.Peer
 		e.From = int(c.u16())
 		e.Data = c.bytes(int64(c.u16()))
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -9,35 +9,35 @@
 
 // Codes of the events.
 const (
-	evProbed  = 16
-	evLeft    = 17
-	evTarget  = 18
-	evFirst   = 19
-	evDown    = 20
-	evPeer    = 21
-	evOutcome = 22
-	evTimer   = 23
-	evMembers = 24
-	evCensus  = 25
-	evRequest = 26
-	evLaunch  = 27
+	eventProbeResult    = 16
+	eventClientLeft     = 17
+	eventTarget         = 18
+	eventFirstByte      = 19
+	eventInstanceDown   = 20
+	eventPeerMessage    = 21
+	eventAttemptEnded   = 22
+	eventTimer          = 23
+	eventDiscovery      = 24
+	eventServerList     = 25
+	eventRequest        = 26
+	eventInstanceLaunch = 27
 )
 
 // Codes of the actions.
 const (
-	acSend    = 16
-	acRefuse  = 17
-	acFail    = 18
-	acCancel  = 19
-	acWake    = 20
-	acProbe   = 21
-	acClose   = 22
-	acTell    = 23
-	acLog     = 24
-	acBug     = 25
-	acWatch   = 26
-	acFetch   = 27
-	acSpeaker = 28
+	actionSend        = 16
+	actionRefuse      = 17
+	actionFail        = 18
+	actionCancel      = 19
+	actionTimer       = 20
+	actionProbe       = 21
+	actionClose       = 22
+	actionPeerMessage = 23
+	actionLog         = 24
+	actionBug         = 25
+	actionWatch       = 26
+	actionFetch       = 27
+	actionInstance    = 28
 )
 
 const (
