--- /dev/null
+++ b/internal/transport/attempt.go
@@ -0,0 +1,201 @@
+package transport
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+type stage uint8
+
+const (
+	waiting stage = iota // for its connection
+	writing
+	sent
+	settled
+)
+
+// Attempt is an exchange that has been started. Exactly one Result arrives on Done.
+type Attempt struct {
+	Done   chan Result
+	x      Exchange
+	kept   bool               // on a connection kept from an exchange before
+	wrote  chan struct{}      // closed when the message is out or has failed
+	cancel context.CancelFunc // ends a dial; nil on an idle connection
+
+	mu    sync.Mutex
+	stage stage
+	more  bool // in pieces, and the last one has not begun
+	conn  *conn
+}
+
+// begun tells, under the lock, that the message's last byte may have gone out, so that the worker may have started.
+func (a *Attempt) begun() bool { return a.stage != waiting && !a.more }
+
+func (a *Attempt) begin(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage != waiting {
+		return false
+	}
+	a.stage, a.conn, a.more = writing, c, a.x.Rest != nil
+	return true
+}
+
+// settle gives the result once; later calls change nothing.
+func (a *Attempt) settle(isSent bool, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settleLocked(isSent, err)
+}
+
+func (a *Attempt) settleLocked(isSent bool, err error) {
+	if a.stage != settled {
+		a.stage = settled
+		a.Done <- Result{Tag: a.x.Tag, Sent: isSent, Kept: a.kept, Err: err}
+	}
+}
+
+// broke settles an attempt whose connection ended under it. A write that is still under way may be whole
+// already: until the writer says otherwise it counts as sent, the cautious reading.
+func (a *Attempt) broke(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settleLocked(a.begun(), err)
+}
+
+// Abort gives the exchange up. Its connection is closed when Abort returns and is never used again. An
+// answer that has been read whole before stands, and its connection, which may serve another call by now,
+// stays open: that is why the close is done under the attempt's lock.
+func (a *Attempt) Abort() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage == settled {
+		return
+	}
+	if a.cancel != nil {
+		a.cancel()
+	}
+	if a.conn != nil {
+		a.conn.Close() // returns once the descriptor is closed, so the next attempt goes out after it
+	}
+	a.settleLocked(a.begun(), ErrAborted)
+}
+
+// wholeWrite is the length up to which a message goes out in one piece. Of a longer one the last byte is kept
+// back until it is certain that no answer has begun.
+const wholeWrite = 8 << 10
+
+// write sends the message. Only the goroutine that made the attempt's connection its own calls it.
+func (a *Attempt) write(c *conn) {
+	defer close(a.wrote)
+	if a.x.Ready != nil && !a.x.Ready() {
+		a.settle(false, ErrRevoked)
+		c.Close()
+		return
+	}
+	if !a.begin(c) { // settled meanwhile: nothing may go out any more
+		c.Close()
+		return
+	}
+	message := a.x.Message
+	if a.x.Rest != nil {
+		if !a.stream(c) {
+			return
+		}
+		message = nil
+	} else if size(message) > wholeWrite {
+		first, last := keepLast(message)
+		if !a.send(c, first, false) {
+			return
+		}
+		message = net.Buffers{last}
+	}
+	if message != nil && !a.send(c, message, true) {
+		return
+	}
+	a.mu.Lock()
+	if a.stage == writing {
+		a.stage = sent
+	}
+	a.mu.Unlock()
+	if a.x.Written != nil {
+		a.x.Written.Add(1)
+	}
+}
+
+// pieceTime bounds the writing of one piece of a long message: a worker that takes none for so long takes no more.
+const pieceTime = 10 * time.Second
+
+// stream writes a message that comes in pieces.
+func (a *Attempt) stream(c *conn) bool {
+	defer c.SetWriteDeadline(time.Time{})
+	c.SetWriteDeadline(time.Now().Add(pieceTime))
+	if !a.send(c, a.x.Message, false) {
+		return false
+	}
+	whole := false
+	err := a.x.Rest(func(piece net.Buffers, last bool) error {
+		c.SetWriteDeadline(time.Now().Add(pieceTime))
+		a.mu.Lock()
+		a.more = !last
+		a.mu.Unlock()
+		if !a.send(c, piece, last) {
+			return net.ErrClosed
+		}
+		whole = last
+		return nil
+	})
+	if err != nil || !whole {
+		a.settle(false, cmp.Or(err, ErrSource)) // changes nothing where a piece has failed
+		c.Close()
+		return false
+	}
+	return true
+}
+
+// send writes a part of the message, unless an answer has begun to come, which cannot be the answer to it.
+func (a *Attempt) send(c *conn, part net.Buffers, isLast bool) bool {
+	if !c.Quiet() {
+		a.settle(false, ErrEarly)
+		c.Close()
+		return false
+	}
+	want := size(part)
+	n, err := part.WriteTo(c.Socket)
+	if err != nil {
+		a.settle(isLast && n >= want, err)
+		c.Close()
+		return false
+	}
+	return true
+}
+
+func size(message net.Buffers) (n int64) {
+	for _, b := range message {
+		n += int64(len(b))
+	}
+	return n
+}
+
+// keepLast cuts the last byte off a message.
+func keepLast(message net.Buffers) (first net.Buffers, last []byte) {
+	first = slices.Clone(message)
+	for i := len(first) - 1; i >= 0; i-- {
+		if n := len(first[i]); n > 0 {
+			first[i], last = first[i][:n-1], first[i][n-1:]
+			break
+		}
+	}
+	return first, last
+}
+
+// Refused returns an Attempt at x that has ended before it began, for the given reason.
+func Refused(x Exchange, err error) *Attempt {
+	a := &Attempt{Done: x.done(), x: x}
+	a.settle(false, err)
+	return a
+}
