An attempt is checked, timed and made at its first byte, and closed before its result

Seen by reading, then in tests with real connections: - protocol/worker.go Start encoded the message before the connection was opened, so X-Expires-In was too long by what the connection took (up to the connect time), for first and further attempts. - routing/call.go delegate looked the backend up when the order was carried out, not when the module chose: a new start told in between was sent to in place of the process that had been chosen. - decide/rules.go repeatable checks a keyed request's window at the choice only; in a late process the repeat's first byte could come after the window's end. - transport pool.go serve, finish and attempt.go write gave the result before they closed the connection, so a further attempt could go out beside one that was still open (unreadable or unfinished answers). - An attempt called off between the parts of a message over 8 KiB counted as sent, which pinned group and window.

Change: Exchange.Message is a function, called once under the attempt's lock when the connection is there; after an Abort it is not called. An order carries the process listed at the choice. Send has Before, the end of the window, for repeats of keyed requests and, where copies are allowed, for all their attempts; the router asks it, and the request's own end, with the list at the first byte. Connections are closed before a result that does not keep them. The last byte's part marks the attempt as begun.

Ruled out: drains, removals, new addresses and workers disabled by hand between choice and first byte were kept already, at first and further attempts; eviction, an emptied pool and the idle time's end in the instant of reuse lose nothing.

The module's checker wants Send.Before exact.

--- a/decide/api.go
+++ b/decide/api.go
@@ -222,7 +222,7 @@
 
 // The actions.
 const (
-	Send   ActionKind = iota + 1 // ID, Server, Timeout (0: until the client gives up)
+	Send   ActionKind = iota + 1 // ID, Server, Timeout (0: until the client gives up), Before (no first byte from then on; 0: no such time)
 	Refuse                       // ID, Wait: final; trying again is harmless
 	Fail                         // ID: final; nothing is promised
 	Cancel                       // ID, Attempt
@@ -246,6 +246,7 @@
 	ID      uint64
 	Token   uint64
 	Timeout time.Duration
+	Before  time.Duration
 	Wait    time.Duration
 	Text    string
 	Data    []byte
--- a/decide/checker_test.go
+++ b/decide/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -113,6 +114,18 @@
 		if len(r.tries) >= k.c.Limits.MaxAttempts {
 			t.Errorf("%v: attempt %d", k.now, len(r.tries)+1)
 		}
+		var before time.Duration // the end of the window, where there is one
+		if r.class.Effect == Keyed && k.c.Limits.SecondCopies {
+			before = k.now + r.class.Window
+		}
+		for _, try := range slices.Backward(r.tries) {
+			if (try.open || try.mayRan) && r.class.Effect == Keyed {
+				before = try.sent + r.class.Window
+			}
+		}
+		if a.Before != before {
+			t.Errorf("%v: to go out before %v, want %v", k.now, a.Before, before)
+		}
 		for _, try := range r.tries {
 			if try.open && !k.c.Limits.SecondCopies {
 				t.Errorf("%v: second copy", k.now)
--- a/decide/request.go
+++ b/decide/request.go
@@ -53,11 +53,15 @@
 }
 
 func (b *Balancer) send(r *request, s *server) {
-	b.act(Action{Kind: Send, ID: r.id, Server: s.ID})
+	r.tries = append(r.tries, attempt{s: s, at: s.Server, sent: b.now, open: true})
+	a := Action{Kind: Send, ID: r.id, Server: s.ID}
+	if first := r.first(); r.class.Effect == Keyed && (first.sent < b.now || b.c.Limits.SecondCopies) {
+		a.Before = first.sent + r.class.Window
+	}
+	b.act(a)
 	if s.tier.since == 0 {
 		s.tier.since = b.now // silence counts from the first attempt
 	}
-	r.tries = append(r.tries, attempt{s: s, at: s.Server, sent: b.now, open: true})
 	r.out++
 	b.out++
 	s.out++
--- a/decide/rules.go
+++ b/decide/rules.go
@@ -26,13 +26,9 @@
 	if r.class.Effect == Unsafe || b.now+b.c.ConnectTime >= first.sent+r.class.Window {
 		return false
 	}
-	switch r.class.Group {
-	case GroupZone:
-		return s.Zone == first.at.Zone
-	case GroupCell:
-		return s.Cell == first.at.Cell
-	}
-	return true
+	sameZone := r.class.Group != GroupZone || s.Zone == first.at.Zone
+	sameCell := r.class.Group != GroupCell || s.Cell == first.at.Cell
+	return sameZone && sameCell
 }
 
 // maySend is the gate of every send: live request, listed ready server (drains are kept at once, the grace
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -31,8 +31,9 @@
 
 // Message is what a delegation carries to a worker.
 type Message interface {
-	// Encode returns the message for one delegation, which will be waited for no longer than remaining.
-	// The slices are used until the delegation ends.
+	// Encode returns the message for one delegation, which will be waited for no longer than remaining. It is called
+	// when the message is about to be written, on any goroutine, and not once the delegation has ended. The slices are
+	// used until the delegation ends.
 	Encode(worker string, remaining time.Duration) [][]byte
 	// Rest returns what writes the rest of the message after that, nil where Encode gives all. It can be called once for
 	// each delegation; what it returns works for one of them alone.
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -89,8 +89,9 @@
 	Tag int
 }
 
-// Start sends a message to a worker. ready is asked last thing before the first byte goes out.
-func (w *Workers) Start(peer transport.Peer, m Message, remaining time.Duration, ready func() bool, back Return) Delegation {
+// Start sends a message to a worker, which is told the time that is left until end when its first byte goes out. ready is
+// asked once the connection is there; where it says no, nothing goes out.
+func (w *Workers) Start(peer transport.Peer, m Message, end time.Time, ready func() bool, back Return) Delegation {
 	reply := &Reply{}
 	var written *atomic.Int64
 	if _, probing := m.(probe); !probing && w.Figures != nil {
@@ -98,7 +99,7 @@
 	}
 	return Delegation{Reply: reply, Attempt: w.Pool.Start(peer, transport.Exchange{
 		Written: written, Tag: back.Tag, Done: back.To,
-		Message: net.Buffers(m.Encode(peer.Addr, remaining)),
+		Message: func() net.Buffers { return m.Encode(peer.Addr, time.Until(end)) },
 		Rest:    m.Rest(),
 		Ready:   ready,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -16,7 +16,7 @@
 	id     uint64
 	call   *protocol.Call
 	end    time.Time // when the client gives up
-	orders chan decide.Action
+	orders chan order
 	tries  int         // delegations so far
 	gone   atomic.Bool // the client has left: nothing new may go out
 
@@ -28,11 +28,17 @@
 // ordersPerTry bounds the orders for one attempt: its send, a cancel, and a second one when the call ends.
 const ordersPerTry = 3
 
+// order is an action of the module for one request.
+type order struct {
+	decide.Action
+	peer transport.Peer // with Send: the backend's process as it was listed at the choice; zero where it is not listed
+}
+
 // order puts an action into the mailbox. It is called under the router's lock and never waits. The mailbox
 // holds all that a module may rightly order; past that an order is dropped, and the call ends as overdue.
-func (t *task) order(a decide.Action) {
+func (t *task) order(o order) {
 	select {
-	case t.orders <- a:
+	case t.orders <- o:
 	default:
 	}
 }
@@ -223,7 +229,7 @@
 func (r *Router) enter(t *task) {
 	call := t.call
 	t.end = time.Now().Add(call.Budget)
-	t.orders = make(chan decide.Action, ordersPerTry*min(r.Decide.Limits.MaxAttempts, maxTries)+1)
+	t.orders = make(chan order, ordersPerTry*min(r.Decide.Limits.MaxAttempts, maxTries)+1)
 	r.mu.Lock()
 	r.lastCall++
 	t.id = r.lastCall
@@ -241,20 +247,23 @@
 }
 
 // delegate sends a call to the worker that the module chose. Its result goes to results, under its number.
-func (r *Router) delegate(t *task, a decide.Action, results chan transport.Result) *delegation {
+func (r *Router) delegate(t *task, o order, results chan transport.Result) *delegation {
 	now := time.Now()
-	d := &delegation{try: t.tries, worker: a.Server, begun: now, end: t.end}
-	if at := now.Add(a.Timeout); a.Timeout != 0 && at.Before(t.end) {
+	d := &delegation{try: t.tries, worker: o.Server, begun: now, end: t.end}
+	if at := now.Add(o.Timeout); o.Timeout != 0 && at.Before(t.end) {
 		d.end = at
 	}
 	t.tries++
 	back := protocol.Return{To: results, Tag: d.try}
-	w := r.worker(a.Server)
-	if w == nil { // it left the list between the choice and now
+	if o.peer == (transport.Peer{}) {
 		d.Delegation = protocol.Revoked(transport.ErrRevoked, back)
 		return d
 	}
-	d.Delegation = r.Workers.Start(w.peer, t.call.Message, d.end.Sub(now), func() bool { return !t.gone.Load() && r.still(w) }, back)
+	end, long := d.end, t.call.Upload != nil // the end of a long message moves on while it comes
+	ready := func() bool {
+		return !t.gone.Load() && (long || time.Now().Before(end)) && r.may(o)
+	}
+	d.Delegation = r.Workers.Start(o.peer, t.call.Message, end, ready, back)
 	return d
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -133,7 +133,11 @@
 		switch a.Kind {
 		case decide.Send, decide.Refuse, decide.Fail, decide.Cancel:
 			if t := r.calls[a.ID]; t != nil {
-				t.order(a)
+				o := order{Action: a}
+				if w := r.workers[a.Server]; w != nil && a.Kind == decide.Send {
+					o.peer = w.peer
+				}
+				t.order(o)
 			}
 		case decide.Mark:
 		default:
@@ -187,13 +191,26 @@
 	return nil
 }
 
+// may tells whether an attempt may still begin: its backend is listed up, and is the process that was chosen, and it is not
+// too late for a repeat. An attempt that waited for its connection asks this before it writes.
+func (r *Router) may(o order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isUp(o.Server, o.peer) && (o.Before == 0 || r.now() < o.Before)
+}
+
 // still tells whether a worker is listed up, at the same address and with the same start, as when it was
-// chosen. A delegation or probe that waited for its connection asks this before it writes.
+// chosen. A probe that waited for its connection asks this before it writes.
 func (r *Router) still(w *worker) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.workers[w.id]
-	return now != nil && now.state == decide.Ready && now.peer == w.peer
+	return r.isUp(w.id, w.peer)
+}
+
+// isUp is still, under the lock.
+func (r *Router) isUp(id decide.ServerID, peer transport.Peer) bool {
+	now := r.workers[id]
+	return now != nil && now.state == decide.Ready && now.peer == peer
 }
 
 // probeTime bounds a probe; a worker answers one only after what waits before it.
@@ -204,7 +221,7 @@
 	e := decide.Event{Kind: decide.Probed, Server: id, Status: decide.ConnectFailed}
 	begun := time.Now()
 	if w := r.worker(id); w != nil {
-		d := r.Workers.Start(w.peer, protocol.Probe(), probeTime, func() bool { return r.still(w) }, protocol.Return{})
+		d := r.Workers.Start(w.peer, protocol.Probe(), begun.Add(probeTime), func() bool { return r.still(w) }, protocol.Return{})
 		late := time.AfterFunc(probeTime, d.Abort)
 		result := <-d.Done
 		onTime := late.Stop()
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -28,21 +28,25 @@
 
 	mu    sync.Mutex
 	stage stage
-	more  bool // in pieces, and the last one has not begun
+	more  bool // the part with the message's last byte has not begun
 	conn  *conn
 }
 
 // begun tells, under the lock, that the message's last byte may have gone out, so that the worker may have started.
 func (a *Attempt) begun() bool { return a.stage != waiting && !a.more }
 
-func (a *Attempt) begin(c *conn) bool {
+// begin makes the connection the attempt's own and makes the message, unless the attempt has been settled. It does so
+// under the lock: once Abort has returned, what the message is made of may belong to another request.
+func (a *Attempt) begin(c *conn) (message net.Buffers, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stage != waiting {
-		return false
+		return nil, false
 	}
-	a.stage, a.conn, a.more = writing, c, a.x.Rest != nil
-	return true
+	message = a.x.Message()
+	a.stage, a.conn = writing, c
+	a.more = a.x.Rest != nil || size(message) > wholeWrite
+	return message, true
 }
 
 // settle gives the result once; later calls change nothing.
@@ -93,28 +97,24 @@
 func (a *Attempt) write(c *conn) {
 	defer close(a.wrote)
 	if a.x.Ready != nil && !a.x.Ready() {
-		a.settle(false, ErrRevoked)
-		c.Close()
+		a.fail(c, false, ErrRevoked)
 		return
 	}
-	if !a.begin(c) { // settled meanwhile: nothing may go out any more
+	message, ok := a.begin(c)
+	if !ok { // settled meanwhile: nothing may go out any more
 		c.Close()
 		return
 	}
-	message := a.x.Message
-	if a.x.Rest != nil {
-		if !a.stream(c) {
-			return
-		}
-		message = nil
-	} else if size(message) > wholeWrite {
+	switch {
+	case a.x.Rest != nil:
+		ok = a.stream(c, message)
+	case size(message) > wholeWrite:
 		first, last := keepLast(message)
-		if !a.send(c, first, false) {
-			return
-		}
-		message = net.Buffers{last}
+		ok = a.send(c, first, false) && a.send(c, net.Buffers{last}, true)
+	default:
+		ok = a.send(c, message, true)
 	}
-	if message != nil && !a.send(c, message, true) {
+	if !ok {
 		return
 	}
 	a.mu.Lock()
@@ -127,22 +127,26 @@
 	}
 }
 
+// fail ends an attempt whose message has not gone out as it should. The connection is closed before the result is out,
+// so that an attempt which follows that result finds it closed.
+func (a *Attempt) fail(c *conn, isSent bool, err error) {
+	c.Close()
+	a.settle(isSent, err)
+}
+
 // pieceTime bounds the writing of one piece of a long message: a worker that takes none for so long takes no more.
 const pieceTime = 10 * time.Second
 
-// stream writes a message that comes in pieces.
-func (a *Attempt) stream(c *conn) bool {
+// stream writes a message that comes in pieces; beginning is what there is of it already.
+func (a *Attempt) stream(c *conn, beginning net.Buffers) bool {
 	defer c.SetWriteDeadline(time.Time{})
 	c.SetWriteDeadline(time.Now().Add(pieceTime))
-	if !a.send(c, a.x.Message, false) {
+	if !a.send(c, beginning, false) {
 		return false
 	}
 	whole := false
 	err := a.x.Rest(func(piece net.Buffers, last bool) error {
 		c.SetWriteDeadline(time.Now().Add(pieceTime))
-		a.mu.Lock()
-		a.more = !last
-		a.mu.Unlock()
 		if !a.send(c, piece, last) {
 			return net.ErrClosed
 		}
@@ -150,8 +154,7 @@
 		return nil
 	})
 	if err != nil || !whole {
-		a.settle(false, cmp.Or(err, ErrSource)) // changes nothing where a piece has failed
-		c.Close()
+		a.fail(c, false, cmp.Or(err, ErrSource)) // changes nothing where a piece has failed
 		return false
 	}
 	return true
@@ -160,15 +163,18 @@
 // send writes a part of the message, unless an answer has begun to come, which cannot be the answer to it.
 func (a *Attempt) send(c *conn, part net.Buffers, isLast bool) bool {
 	if !c.Quiet() {
-		a.settle(false, ErrEarly)
-		c.Close()
+		a.fail(c, false, ErrEarly)
 		return false
 	}
+	if isLast {
+		a.mu.Lock()
+		a.more = false
+		a.mu.Unlock()
+	}
 	want := size(part)
 	n, err := part.WriteTo(c.Socket)
 	if err != nil {
-		a.settle(isLast && n >= want, err)
-		c.Close()
+		a.fail(c, isLast && n >= want, err)
 		return false
 	}
 	return true
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -19,9 +19,9 @@
 
 // Exchange is one message to a worker and the reading of its answer. It is protocol-neutral.
 type Exchange struct {
-	Message net.Buffers
+	Message func() net.Buffers                            // makes the message, at most once, right before its first byte goes out
 	Rest    func(write Write) error                       // writes what follows Message; nil where that is whole
-	Ready   func() bool                                   // asked last thing before the first byte goes out
+	Ready   func() bool                                   // asked once the connection is there; false: nothing may go out any more
 	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one answer, whole or up to where More says
 	More    func() bool                                   // tells, after Read, that the answer goes on; nil for never
 	Written *atomic.Int64                                 // counts the exchange once its last byte has gone out; nil for none
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -132,6 +132,7 @@
 			reuse, err = a.x.Read(c.r)
 		}
 		if err != nil {
+			c.Close() // before the result is out: what follows it goes out after
 			a.broke(err)
 			return
 		}
@@ -166,6 +167,9 @@
 		return false
 	}
 	kept := reuse && p.release(c)
+	if !kept {
+		c.Close() // before the result is out: what follows it goes out after
+	}
 	a.settleLocked(true, nil)
 	return kept
 }
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -42,7 +42,8 @@
 }
 
 func message(ready bool) Exchange {
-	return Exchange{Message: net.Buffers{[]byte("a"), []byte("\n")}, Ready: func() bool { return ready }, Read: line}
+	text := func() net.Buffers { return net.Buffers{[]byte("a"), []byte("\n")} }
+	return Exchange{Message: text, Ready: func() bool { return ready }, Read: line}
 }
 
 func check(t *testing.T, a *Attempt, sent bool, want error) {
@@ -135,7 +136,7 @@
 	addr, conns := server(t)
 	p := NewPool(System{}, NewBudget(1), 10*time.Second, time.Minute)
 	x := message(true)
-	x.Message = net.Buffers{make([]byte, 64<<20)} // more than the sockets hold
+	x.Message = func() net.Buffers { return net.Buffers{make([]byte, 64<<20)} } // more than the sockets hold
 	a := p.Start(addr, message(true))
 	c := <-conns
 	reply(c)
