--- a/internal/routing/told_test.go
+++ b/internal/routing/told_test.go
@@ -86,10 +86,12 @@
 	}()
 }
 
+// untouched expects a connection to end with no byte on it.
 func untouched(t *testing.T, c net.Conn) {
 	t.Helper()
-	if b, _ := io.ReadAll(c); len(b) > 0 {
-		t.Errorf("the backend got %q", b)
+	b := make([]byte, 512)
+	if n, _ := c.Read(b); n > 0 {
+		t.Errorf("the backend got %q", b[:n])
 	}
 }
 
--- a/internal/transport/moment_test.go
+++ b/internal/transport/moment_test.go
@@ -31,7 +31,7 @@
 	if h.dial != nil {
 		h.dial()
 	}
-	c, err := h.System.Dial(ctx, addr)
+	c, err := h.System.Dial(context.WithoutCancel(ctx), addr) // also one that comes up just as it is called off
 	if err != nil {
 		return nil, err
 	}
