--- a/internal/clustertest/measure/cluster.go
+++ b/internal/clustertest/measure/cluster.go
@@ -63,7 +63,7 @@
 
 // configure writes a process's configuration. addr gives the voters' addresses as this process reaches them; nil: their own.
 func (f *fleet) configure(m *member, voters []*member, addr func(to *member) string) error {
-	p := &settings.Process{Name: m.name, Clients: m.clients, Door: m.door, Workers: f.workers}
+	p := &settings.Process{Name: m.name, Clients: m.clients, Operator: m.door, Workers: f.workers}
 	if m.listen != "" {
 		p.Cluster = &settings.Cluster{Name: clusterName, Listen: m.listen, Folder: m.folder()}
 		for _, v := range voters {
--- a/internal/clustertest/run/member.go
+++ b/internal/clustertest/run/member.go
@@ -60,7 +60,7 @@
 	if m.rules {
 		c.More = "rules = true\n"
 	}
-	return (&settings.Process{Name: m.name, Clients: m.clients, Door: m.door, Workers: m.workers, Cluster: c}).Folders(m.dir)
+	return (&settings.Process{Name: m.name, Clients: m.clients, Operator: m.door, Workers: m.workers, Cluster: c}).Folders(m.dir)
 }
 
 // start starts the process unless it runs or a fault wants it down.
--- a/internal/clustertest/settings/settings.go
+++ b/internal/clustertest/settings/settings.go
@@ -14,11 +14,11 @@
 
 // Process is one process. Addresses are host:port.
 type Process struct {
-	Name    string
-	Clients string   // where it takes calls
-	Door    string   // the operators'
-	Workers []string // addresses that it knows from the start
-	Cluster *Cluster // nil: it has no part in one
+	Name     string
+	Clients  string   // where it takes calls
+	Operator string   // the operators'
+	Workers  []string // addresses that it knows from the start
+	Cluster  *Cluster // nil: it has no part in one
 }
 
 // Cluster is its part in a cluster.
@@ -67,7 +67,7 @@
 effect = "safe"
 aim = "600ms"
 deadline = "3s"
-`, p.Name, p.Clients, p.Door)
+`, p.Name, p.Clients, p.Operator)
 	for i, w := range p.Workers {
 		fmt.Fprintf(&b, "\n[[worker]]\nid = \"s-%d\"\naddress = %q\nzone = \"hall-a\"\n", i+1, w)
 	}
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -1,5 +1,5 @@
-// Package operator is the operators' door: a listener of its own where each connection carries one line, a command,
-// and gets one line back that begins with ACK or NAK. Parse is the pure part; Door does the I/O.
+// Package operator is the admin listener: each connection carries one line, a command, and gets one answer that begins
+// with ACK or NAK. Parse is pure; Listener does the I/O.
 package operator
 
 import (
@@ -11,7 +11,7 @@
 // Verb is what a command asks for.
 type Verb uint8
 
-// The verbs of the door.
+// The verbs of commands.
 const (
 	Ready       Verb = iota + 1 // whether this process can serve
 	Stats                       // the figures, then a line "--"
@@ -32,7 +32,7 @@
 	"DISABLE-HALL": {DisableHall, "hall"}, "ENABLE-HALL": {EnableHall, "hall"}, "DRAIN": {Drain, ""}, "UNDRAIN": {Undrain, ""},
 }
 
-// MaxLine is the longest line that the door reads, in bytes, its end of line included.
+// MaxLine is the longest line that the listener reads, in bytes, its end of line included.
 const MaxLine = 256
 
 // Command is one parsed line.
--- a/internal/operator/door.go
+++ b/internal/operator/listener.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Handler carries out the door's commands. Each method but Order returns at once: none may wait for calls or workers.
+// Handler carries out the listener's commands. Each method but Order returns at once: none may wait for calls or workers.
 type Handler interface {
 	Ready() bool
 	Stats() []byte // the figures as one line of JSON, without its end
@@ -29,14 +29,14 @@
 	OrderTime = 800 * time.Millisecond
 	// writeTime bounds the answer: an operator who reads nothing back holds nothing for longer.
 	writeTime = time.Second
-	// MaxConns is the most connections that the door holds at once.
+	// MaxConns is the most connections that the listener holds at once.
 	MaxConns = 32
 	// acceptPause is the rest after a failed accept, such as one for want of descriptors.
 	acceptPause = 5 * time.Millisecond
 )
 
-// Door serves operators' connections: one line each, one answer, then the connection ends.
-type Door struct {
+// Listener serves operators' connections: one line each, one answer, then the connection ends.
+type Listener struct {
 	Handler Handler
 	Log     *slog.Logger
 
@@ -47,7 +47,7 @@
 }
 
 // Serve accepts until ln is closed and returns when every connection has ended.
-func (d *Door) Serve(ln net.Listener) {
+func (d *Listener) Serve(ln net.Listener) {
 	defer d.serving.Wait()
 	for {
 		conn, err := ln.Accept()
@@ -64,7 +64,7 @@
 }
 
 // admit counts a connection in; at the limit the oldest that has not sent its line is closed to make room.
-func (d *Door) admit(conn net.Conn) *list.Element {
+func (d *Listener) admit(conn net.Conn) *list.Element {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.open >= MaxConns {
@@ -80,7 +80,7 @@
 }
 
 // heard takes a connection off the waiting list. It is false where the connection was closed to make room.
-func (d *Door) heard(place *list.Element) bool {
+func (d *Listener) heard(place *list.Element) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if place.Value == nil {
@@ -91,7 +91,7 @@
 	return true
 }
 
-func (d *Door) serve(conn net.Conn, place *list.Element) {
+func (d *Listener) serve(conn net.Conn, place *list.Element) {
 	defer func() {
 		conn.Close()
 		d.mu.Lock()
@@ -122,7 +122,7 @@
 }
 
 // answer carries out one line's command and gives the whole answer.
-func (d *Door) answer(line string) []byte {
+func (d *Listener) answer(line string) []byte {
 	c, err := Parse(line)
 	if err != nil {
 		return nak(err)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -80,7 +80,7 @@
 		t.Fatal(err)
 	}
 	h := &handler{out: map[string]bool{}}
-	d := &Door{Handler: h, Log: slog.New(slog.DiscardHandler)}
+	d := &Listener{Handler: h, Log: slog.New(slog.DiscardHandler)}
 	done := make(chan struct{})
 	go func() { defer close(done); d.Serve(ln) }()
 	t.Cleanup(func() { ln.Close(); <-done })
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -170,7 +170,7 @@
 	s.startOrders(working, operations, out)
 	stopRules := s.startRules()
 	if s.door != nil {
-		door := &operator.Door{Log: s.log, Handler: operations}
+		door := &operator.Listener{Log: s.log, Handler: operations}
 		go func() {
 			defer close(doorDone)
 			door.Serve(s.door)
