steward is reconciler: the loop at the leader that brings timelines to what the record says

The author that records name, cluster/steward, stays: voters of both versions check it. No behaviour changes.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -21,10 +21,10 @@
 	"burlpass/internal/cluster/voter"
 	"burlpass/internal/lease"
 	"burlpass/internal/logging"
+	"burlpass/internal/reconciler"
 	"burlpass/internal/record"
 	"burlpass/internal/retire"
 	"burlpass/internal/rules"
-	"burlpass/internal/steward"
 )
 
 // Peer is another member as this process reaches it.
@@ -69,7 +69,7 @@
 		return nil
 	}
 	log := cmp.Or(c.Log, logging.Discard())
-	return func(ctx context.Context, m api.Member) { steward.New(log).Run(ctx, m, steward.Pause) }
+	return func(ctx context.Context, m api.Member) { reconciler.New(log).Run(ctx, m, reconciler.Pause) }
 }
 
 // dialTime bounds an observer's dial.
--- a/internal/steward/steward.go
+++ b/internal/reconciler/reconciler.go
@@ -1,6 +1,6 @@
-// Package steward moves timelines of versions at the leader: it proposes the steps whose conditions hold by the record, and folds what ended
+// Package reconciler moves timelines of versions at the leader: it proposes the steps whose conditions hold by the record, and folds what ended
 // processes have counted. Every voter checks them again. docs/retire.md has the design.
-package steward
+package reconciler
 
 import (
 	"context"
@@ -28,8 +28,8 @@
 	sayAgain  = 10 * time.Minute // of a timeline that holds for the same reason
 )
 
-// Steward looks each second. It is for one goroutine.
-type Steward struct {
+// Reconciler looks each second. It is for one goroutine.
+type Reconciler struct {
 	reader retire.Reader
 	log    *slog.Logger
 	said   map[string]said // by timeline
@@ -42,11 +42,11 @@
 	when time.Time
 }
 
-// New returns a Steward.
-func New(log *slog.Logger) *Steward { return &Steward{log: log, said: map[string]said{}} }
+// New returns a Reconciler.
+func New(log *slog.Logger) *Reconciler { return &Reconciler{log: log, said: map[string]said{}} }
 
 // Run looks again after each pause until ctx is done, which is as soon as the member leads no more.
-func (s *Steward) Run(ctx context.Context, m Member, pause time.Duration) {
+func (s *Reconciler) Run(ctx context.Context, m Member, pause time.Duration) {
 	tick := time.NewTicker(pause)
 	defer tick.Stop()
 	for ctx.Err() == nil {
@@ -59,7 +59,7 @@
 }
 
 // Look writes what is due now.
-func (s *Steward) Look(ctx context.Context, m Member) {
+func (s *Reconciler) Look(ctx context.Context, m Member) {
 	r := m.Replica()
 	if r == nil {
 		return
@@ -94,7 +94,7 @@
 	}
 }
 
-func (s *Steward) step(ctx context.Context, m Member, step retire.Stepped) {
+func (s *Reconciler) step(ctx context.Context, m Member, step retire.Stepped) {
 	r, ok := s.write(ctx, m, step.Write)
 	switch {
 	case !ok: // the next look is another try
@@ -109,7 +109,7 @@
 }
 
 // write has a write agreed on; false where it is not known to be.
-func (s *Steward) write(ctx context.Context, m Member, w *record.Write) (record.Result, bool) {
+func (s *Reconciler) write(ctx context.Context, m Member, w *record.Write) (record.Result, bool) {
 	ctx, cancel := context.WithTimeout(ctx, writeTime)
 	defer cancel()
 	w.ID = rand.Text()
@@ -118,7 +118,7 @@
 }
 
 // holds logs why a timeline holds whose time has come: when that changes, and now and then.
-func (s *Steward) holds(h retire.Holding) {
+func (s *Reconciler) holds(h retire.Holding) {
 	if h.Waits {
 		delete(s.said, h.Timeline)
 		return
--- a/internal/steward/steward_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -1,4 +1,4 @@
-package steward
+package reconciler
 
 import (
 	"context"
