Fleet laboratory reports a cold server's share at half of the warm-up

The report of cold servers gets the work that they got from 3/8 to 5/8 of the warm-up over what they could do then, as the mean over the processes that reached that age: a tighter ramp must not starve them. Tests: TestShareAtHalf.

--- a/internal/lab/judge/cold.go
+++ b/internal/lab/judge/cold.go
@@ -24,6 +24,8 @@
 	All    ColdPeak   `json:"all"`    // the greatest part of a budget used, by all
 	Told   ColdPeak   `json:"told"`   // the same by sidecars that had been told of the start
 	Number float64    `json:"number"` // as All, with requests by their number and not by their work
+	Half   float64    `json:"half"`   // work got over what it could do, from 3/8 to 5/8 of the warming, mean over processes
+	Halves int        `json:"halves"` // processes that reached 5/8
 	Passed []ColdPeak `json:"passed"` // the first span of each process in which its budget was passed by all
 }
 
@@ -70,6 +72,7 @@
 	sends   []coldSend // of the span, oldest first
 	all     time.Duration
 	known   time.Duration
+	middle  time.Duration // work that came from 3/8 to 5/8 of the warming
 }
 
 type coldSend struct {
@@ -128,9 +131,13 @@
 	}
 	l := &c.lives[e.Worker]
 	if !l.begun || l.started != e.Started {
+		c.halfway(e.Worker, e.At)
 		*l = coldLife{started: e.Started, begun: true}
 		c.report.Lives++
 	}
+	if age >= c.warm*3/8 && age < c.warm*5/8 {
+		l.middle += e.Work
+	}
 	old := 0
 	for old < len(l.sends) && l.sends[old].at <= e.At-c.span {
 		l.count(l.sends[old], -1)
@@ -161,6 +168,18 @@
 	}
 }
 
+// halfway counts a process in the mean share at half of the warming, if it was that old by a time. A worker has half of
+// the way from its first share to 1 there, in the mean.
+func (c *cold) halfway(worker int, until time.Duration) {
+	l := &c.lives[worker]
+	if !l.begun || until-l.started < c.warm*5/8 {
+		return
+	}
+	able := c.able[worker] * (c.from + 1) / 2 * (c.warm / 4).Seconds()
+	c.report.Halves++
+	c.report.Half += (l.middle.Seconds()/able - c.report.Half) / float64(c.report.Halves)
+}
+
 func (l *coldLife) count(s coldSend, sign time.Duration) {
 	l.all += sign * s.work
 	if s.known {
@@ -168,10 +187,14 @@
 	}
 }
 
-// result is the report, nil where there was nothing to go by.
-func (c *cold) result() *ColdReport {
+// result is the report at the end of the day, nil where there was nothing to go by.
+func (c *cold) result(until time.Duration) *ColdReport {
 	if c == nil {
 		return nil
 	}
+	for worker := range c.lives {
+		c.halfway(worker, until)
+		c.lives[worker].begun = false
+	}
 	return &c.report
 }
--- a/internal/lab/judge/cold_test.go
+++ b/internal/lab/judge/cold_test.go
@@ -102,3 +102,22 @@
 		t.Errorf("budgets of workers of which nothing is known: %+v", got)
 	}
 }
+
+// The share at half of the warming is the work got there over what the worker could do, of processes that got so far.
+func TestShareAtHalf(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		until  time.Duration
+		halves int
+	}{"a whole day": {8 * time.Second, 1}, "a day that ends before": {6 * time.Second, 0}} {
+		j := coldDay(t)
+		j.Until(test.until)
+		push(j, time.Second, 0, 5)           // before 3/8 of 10 s
+		push(j, 4*time.Second, 0, 9)         // of 2.5 s at 0.6 of ten requests a second
+		push(j, 6500*time.Millisecond, 0, 5) // after 5/8
+		r := j.Report(Work{}).Cold
+		if want := 0.6 * float64(test.halves); r.Halves != test.halves || math.Abs(r.Half-want) > 1e-9 {
+			t.Errorf("%s: %.3f over %d processes, %.3f over %d expected", name, r.Half, r.Halves, want, test.halves)
+		}
+	}
+}
--- a/internal/lab/judge/report.go
+++ b/internal/lab/judge/report.go
@@ -216,7 +216,7 @@
 		r.Samples = append(r.Samples, s.used...)
 	}
 	r.Belief = j.belief.report(j.now)
-	r.Cold = j.cold.result()
+	r.Cold = j.cold.result(j.tally.fleet.Until)
 	g := t.fleet.Scenario.Goal
 	if len(r.Violations) == 0 {
 		r.G = g.Whole*r.Worth + g.Worst*r.Worst + g.WorstClass*r.WorstClass -
