--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"burlpass/internal/govern"
+	"burlpass/internal/enforcement"
 	"burlpass/internal/lease"
 	"burlpass/internal/limits"
 	"burlpass/internal/protocol"
@@ -84,9 +84,9 @@
 	voter := open(Config{Member: "v", Folder: t.TempDir(), Voters: []Peer{{"v", "127.0.0.1:0"}}})
 	at := []Peer{{"v", voter.Addr().String()}}
 	members := []*Member{voter, open(Config{Member: "o1", Voters: at}), open(Config{Member: "o2", Voters: at})}
-	var gates []*govern.Governor
+	var gates []*enforcement.Enforcer
 	for _, m := range members {
-		g := govern.New(govern.Config{Member: m, Limits: heard{}, Island: "a", Hall: "h", Classes: []govern.Class{{Name: "booking"}}, Log: slog.New(slog.DiscardHandler)})
+		g := enforcement.New(enforcement.Config{Member: m, Limits: heard{}, Island: "a", Hall: "h", Classes: []enforcement.Class{{Name: "booking"}}, Log: slog.New(slog.DiscardHandler)})
 		follow, stop := context.WithCancel(ctx)
 		done := make(chan struct{})
 		go func() { defer close(done); g.Run(follow) }()
--- a/internal/govern/govern.go
+++ b/internal/enforcement/enforcement.go
@@ -1,6 +1,6 @@
-// Package govern has the rules of many teams take effect on the calls of one process: it follows the member's record, keeps a
+// Package enforcement has the rules of many teams take effect on the calls of one process: it follows the member's record, keeps a
 // compiled table beside the calls, gives the fleet's limits to those who lease them, and is the router's gate. docs/rules.md has the design.
-package govern
+package enforcement
 
 import (
 	"context"
@@ -37,7 +37,7 @@
 	Window time.Duration // in which a key's repeat is the same call; 0: there are no such repeats
 }
 
-// Config is what a Governor is made of.
+// Config is what an Enforcer is made of.
 type Config struct {
 	Member       Member
 	Limits       Limits
@@ -47,8 +47,8 @@
 	Log          *slog.Logger
 }
 
-// Governor is a routing.Gate. Until it has a table it lets all calls pass.
-type Governor struct {
+// Enforcer is a routing.Gate. Until it has a table it lets all calls pass.
+type Enforcer struct {
 	Config
 	table atomic.Pointer[rules.Table]
 	seed  maphash.Seed
@@ -68,12 +68,12 @@
 	keys
 }
 
-// New returns a Governor without a table.
-func New(c Config) *Governor {
+// New returns an Enforcer without a table.
+func New(c Config) *Enforcer {
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	g := &Governor{Config: c, seed: maphash.MakeSeed(), keys: make([]keyring, len(c.Classes))}
+	g := &Enforcer{Config: c, seed: maphash.MakeSeed(), keys: make([]keyring, len(c.Classes))}
 	g.refusals.of = map[string]*count{}
 	for i, k := range c.Classes {
 		g.keys[i].window = k.Window
@@ -82,7 +82,7 @@
 }
 
 // Enter is the router's question about a call.
-func (g *Governor) Enter(call *protocol.Call) routing.Terms {
+func (g *Enforcer) Enter(call *protocol.Call) routing.Terms {
 	t := g.table.Load()
 	if t == nil || call.Origin == nil || call.Class >= len(g.Classes) {
 		return routing.Terms{}
@@ -115,21 +115,21 @@
 }
 
 // key is a hash of a call's key; false where there are no repeats by key.
-func (g *Governor) key(call *protocol.Call) (uint64, bool) {
+func (g *Enforcer) key(call *protocol.Call) (uint64, bool) {
 	if call.Origin.Key == "" || g.keys[call.Class].window <= 0 {
 		return 0, false
 	}
 	return maphash.String(g.seed, call.Origin.Key), true
 }
 
-func (g *Governor) passedBefore(class int, hash uint64) bool {
+func (g *Enforcer) passedBefore(class int, hash uint64) bool {
 	k := &g.keys[class]
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.passed(hash, g.Now())
 }
 
-func (g *Governor) pass(class int, hash uint64) {
+func (g *Enforcer) pass(class int, hash uint64) {
 	k := &g.keys[class]
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -137,7 +137,7 @@
 }
 
 // Version is that of the record that the table in force was made for; 0 before there is one.
-func (g *Governor) Version() record.Version {
+func (g *Enforcer) Version() record.Version {
 	if t := g.table.Load(); t != nil {
 		return t.Version()
 	}
@@ -151,7 +151,7 @@
 )
 
 // Run follows the record until ctx is done. What it makes ready is made beside the calls.
-func (g *Governor) Run(ctx context.Context) { looks(ctx, g.Member, g.follow) }
+func (g *Enforcer) Run(ctx context.Context) { looks(ctx, g.Member, g.follow) }
 
 // looks gives a member's states to follow until ctx is done, the newest one now and then.
 func looks(ctx context.Context, m Member, follow func(record.View)) {
@@ -178,7 +178,7 @@
 }
 
 // follow puts a view's rules in force. What cannot be read leaves the table before.
-func (g *Governor) follow(v record.View) {
+func (g *Enforcer) follow(v record.View) {
 	if !record.Knows(v, rules.RuleKind) {
 		if !g.unknown {
 			g.Log.Warn("rules_unknown", "why", "this cluster was formed without rules; none are in force, nor can any be written")
@@ -191,7 +191,7 @@
 }
 
 // take is follow for a record that has rules.
-func (g *Governor) take(v record.View) {
+func (g *Enforcer) take(v record.View) {
 	s, err := g.dec.Load(v)
 	if err != nil {
 		if text := err.Error(); text != g.fault {
--- a/internal/govern/govern_test.go
+++ b/internal/enforcement/enforcement_test.go
@@ -1,4 +1,4 @@
-package govern
+package enforcement
 
 import (
 	"bytes"
@@ -25,7 +25,7 @@
 // world is a record with rules, a governor that follows it by hand, and limits that say what they are told to.
 type world struct {
 	testing.TB
-	*Governor
+	*Enforcer
 	r    *replica.Replica
 	now  time.Time
 	log  bytes.Buffer
@@ -36,7 +36,7 @@
 
 func newWorld(t testing.TB, domains ...record.Domain) *world {
 	w := &world{TB: t, r: replica.New(record.New(record.DefaultBounds(), domains...), 0, 0), now: time.Unix(1000, 0), full: map[string]time.Duration{}}
-	w.Governor = New(Config{Member: w, Limits: w, Island: "athens", Hall: "h1", Now: func() time.Time { return w.now },
+	w.Enforcer = New(Config{Member: w, Limits: w, Island: "athens", Hall: "h1", Now: func() time.Time { return w.now },
 		Classes: []Class{{Name: "booking"}, {Name: "paid", Window: 10 * time.Second}}, Log: slog.New(slog.NewTextHandler(&w.log, nil))})
 	return w
 }
@@ -296,8 +296,8 @@
 // Run follows a record until it is stopped.
 func TestRun(t *testing.T) {
 	w := governed(t)
-	w.Governor.table.Store(nil)
-	w.Governor.state = nil
+	w.Enforcer.table.Store(nil)
+	w.Enforcer.state = nil
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); w.Run(ctx) }()
--- a/internal/govern/keys.go
+++ b/internal/enforcement/keys.go
@@ -1,4 +1,4 @@
-package govern
+package enforcement
 
 import "time"
 
--- a/internal/govern/metrics.go
+++ b/internal/enforcement/metrics.go
@@ -1,10 +1,10 @@
 //go:build !wasip1
 
-package govern
+package enforcement
 
 import "github.com/prometheus/client_golang/prometheus"
 
-var _ prometheus.Collector = (*Governor)(nil)
+var _ prometheus.Collector = (*Enforcer)(nil)
 
 func refusedDesc() *prometheus.Desc {
 	return prometheus.NewDesc("burlpass_rules_refused_total",
@@ -16,10 +16,10 @@
 }
 
 // Describe is a prometheus.Collector's.
-func (g *Governor) Describe(to chan<- *prometheus.Desc) { to <- refusedDesc(); to <- versionDesc() }
+func (g *Enforcer) Describe(to chan<- *prometheus.Desc) { to <- refusedDesc(); to <- versionDesc() }
 
 // Collect is a prometheus.Collector's.
-func (g *Governor) Collect(to chan<- prometheus.Metric) {
+func (g *Enforcer) Collect(to chan<- prometheus.Metric) {
 	for _, r := range g.Refused() {
 		to <- prometheus.MustNewConstMetric(refusedDesc(), prometheus.CounterValue, float64(r.Calls), r.Rule)
 	}
--- a/internal/govern/refusals.go
+++ b/internal/enforcement/refusals.go
@@ -1,4 +1,4 @@
-package govern
+package enforcement
 
 import (
 	"slices"
@@ -28,7 +28,7 @@
 }
 
 // refuse counts and now and then logs that a rule has refused a call.
-func (g *Governor) refuse(t *rules.Table, rule string) {
+func (g *Enforcer) refuse(t *rules.Table, rule string) {
 	now := g.Now()
 	g.refusals.mu.Lock()
 	name := rule
@@ -60,7 +60,7 @@
 }
 
 // Refused gives the counts in the order of the rules' keys; those past the first 64 rules are under others.
-func (g *Governor) Refused() []Refused {
+func (g *Enforcer) Refused() []Refused {
 	g.refusals.mu.Lock()
 	defer g.refusals.mu.Unlock()
 	var out []Refused
--- a/internal/govern/versions.go
+++ b/internal/enforcement/versions.go
@@ -1,4 +1,4 @@
-package govern
+package enforcement
 
 import (
 	"context"
@@ -14,10 +14,10 @@
 	"burlpass/internal/usage"
 )
 
-// Versions is a routing.Gate before a Governor: it warns of versions that end, sheds and refuses their calls, and counts who uses them. Until
-// it has a table it lets all calls pass to the Governor.
+// Versions is a routing.Gate before an Enforcer: it warns of versions that end, sheds and refuses their calls, and counts who uses them. Until
+// it has a table it lets all calls pass to the Enforcer.
 type Versions struct {
-	governor *Governor
+	governor *Enforcer
 	usage    *usage.Reporter
 	log      *slog.Logger
 	keys     []keyring // by class: those whose first try was let through
@@ -36,7 +36,7 @@
 }
 
 // NewVersions returns Versions without a table.
-func NewVersions(g *Governor, u *usage.Reporter) *Versions {
+func NewVersions(g *Enforcer, u *usage.Reporter) *Versions {
 	v := &Versions{governor: g, usage: u, log: g.Log, keys: make([]keyring, len(g.Classes))}
 	for i, k := range g.Classes {
 		v.keys[i].window = k.Window
@@ -158,7 +158,7 @@
 }
 
 // worth is what rules say that a call is worth, 1 where they say nothing.
-func (g *Governor) worth(q *rules.Call) int64 {
+func (g *Enforcer) worth(q *rules.Call) int64 {
 	if t := g.table.Load(); t != nil {
 		if w := t.Lookup(q, 0).Worth; w >= 0 {
 			return w
--- a/internal/govern/versions_test.go
+++ b/internal/enforcement/versions_test.go
@@ -1,4 +1,4 @@
-package govern
+package enforcement
 
 import (
 	"context"
@@ -62,8 +62,8 @@
 		"timeline "+key+` {"successor":"v2","link":"/x","successor_link":"/v2","retry_s":30,"steps":[{"stage":"announced","at_ms":1},`+
 			`{"stage":"warned","at_ms":2000},{"stage":"shed","share":1000,"at_ms":3000,"need":{"above":1,"times":1,"for_ms":0}},`+
 			`{"stage":"ended","at_ms":4000,"need":{"above":1,"times":1,"for_ms":0}}],"exempt":[{"caller":"partner","until_ms":4000}],"harm":{}}`)
-	counts := usage.New(usage.Config{Member: w, Process: "a", Log: w.Governor.Log})
-	v := NewVersions(w.Governor, counts)
+	counts := usage.New(usage.Config{Member: w, Process: "a", Log: w.Enforcer.Log})
+	v := NewVersions(w.Enforcer, counts)
 	reader := &retire.Reader{}
 	moves := func() {
 		t.Helper()
--- a/internal/program/cluster_open.go
+++ b/internal/program/cluster_open.go
@@ -9,7 +9,7 @@
 	"syscall"
 
 	"burlpass/internal/cluster"
-	"burlpass/internal/govern"
+	"burlpass/internal/enforcement"
 )
 
 // openCluster takes this process's part in the cluster that the configuration names.
@@ -25,7 +25,7 @@
 }
 
 // expose puts what rules refuse among the figures at the cluster's address.
-func expose(m member, g *govern.Governor) {
+func expose(m member, g *enforcement.Enforcer) {
 	if m, ok := m.(*cluster.Member); ok {
 		m.Figures().MustRegister(g)
 	}
--- a/internal/program/cluster_wasip1.go
+++ b/internal/program/cluster_wasip1.go
@@ -4,7 +4,7 @@
 	"errors"
 	"log/slog"
 
-	"burlpass/internal/govern"
+	"burlpass/internal/enforcement"
 )
 
 // openCluster: the simulation's guest has no disk, and its network is the sidecar's alone.
@@ -12,4 +12,4 @@
 	return nil, errors.New("cluster: not in a simulation")
 }
 
-func expose(member, *govern.Governor) {}
+func expose(member, *enforcement.Enforcer) {}
--- a/internal/program/cluster_without_test.go
+++ b/internal/program/cluster_without_test.go
@@ -11,7 +11,7 @@
 // ofCluster tells whether a line of a stack is of what [cluster] starts.
 func ofCluster(line string) bool {
 	for _, part := range []string{"burlpass/internal/cluster", "burlpass/internal/orders", "burlpass/internal/record", "burlpass/internal/rules",
-		"burlpass/internal/govern", "burlpass/internal/limits", "burlpass/internal/lease", "github.com/hashicorp/",
+		"burlpass/internal/enforcement", "burlpass/internal/limits", "burlpass/internal/lease", "github.com/hashicorp/",
 		"go.etcd.io/bbolt", "github.com/prometheus/"} {
 		if strings.Contains(line, part) {
 			return true
--- a/internal/program/gate_bench_test.go
+++ b/internal/program/gate_bench_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"burlpass/internal/cluster/replica"
-	"burlpass/internal/govern"
+	"burlpass/internal/enforcement"
 	"burlpass/internal/limits"
 	"burlpass/internal/logging"
 	"burlpass/internal/protocol"
@@ -75,9 +75,9 @@
 // calls a second and one of calls at once, which have room.
 func BenchmarkGate(b *testing.B) {
 	r := manyRules(b)
-	gate := func(b *testing.B) *govern.Governor {
-		g := govern.New(govern.Config{Member: follows{r}, Limits: limits.New(limits.Config{Name: "b"}), Island: "i7", Hall: "h7", Log: logging.Discard(),
-			Classes: []govern.Class{{Name: "availability"}, {Name: "booking"}, {Name: "paid-extra"}}})
+	gate := func(b *testing.B) *enforcement.Enforcer {
+		g := enforcement.New(enforcement.Config{Member: follows{r}, Limits: limits.New(limits.Config{Name: "b"}), Island: "i7", Hall: "h7", Log: logging.Discard(),
+			Classes: []enforcement.Class{{Name: "availability"}, {Name: "booking"}, {Name: "paid-extra"}}})
 		ctx, cancel := context.WithCancel(context.Background())
 		b.Cleanup(cancel)
 		go g.Run(ctx)
--- a/internal/program/rules.go
+++ b/internal/program/rules.go
@@ -8,7 +8,7 @@
 
 	"burlpass/decide"
 	"burlpass/internal/config"
-	"burlpass/internal/govern"
+	"burlpass/internal/enforcement"
 	"burlpass/internal/limits"
 	"burlpass/internal/protocol"
 	"burlpass/internal/usage"
@@ -67,17 +67,17 @@
 	}
 	k := c.Cluster
 	s.limits = limits.New(limits.Config{Member: s.member, Name: k.Member, Log: s.log})
-	g := govern.Config{Member: s.member, Limits: s.limits, Island: cmp.Or(k.Island, zone), Hall: cmp.Or(k.Hall, zone), Log: s.log}
+	g := enforcement.Config{Member: s.member, Limits: s.limits, Island: cmp.Or(k.Island, zone), Hall: cmp.Or(k.Hall, zone), Log: s.log}
 	for i, name := range c.Names.Classes {
-		class := govern.Class{Name: name}
+		class := enforcement.Class{Name: name}
 		if d := c.Decide.Classes[i]; d.Effect == decide.Keyed {
 			class.Window = d.Window
 		}
 		g.Classes = append(g.Classes, class)
 	}
-	s.governor = govern.New(g)
+	s.governor = enforcement.New(g)
 	s.usage = usage.New(usage.Config{Member: s.member, Process: k.Member, Log: s.log})
-	s.versions = govern.NewVersions(s.governor, s.usage)
+	s.versions = enforcement.NewVersions(s.governor, s.usage)
 	s.gate, s.origins = s.versions, &protocol.Origins{Caller: k.Caller, Version: k.Version, UnderWay: k.UnderWay, Segment: k.Segment}
 	expose(s.member, s.governor)
 }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"burlpass/internal/govern"
+	"burlpass/internal/enforcement"
 	"burlpass/internal/limits"
 	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
@@ -50,10 +50,10 @@
 	member   member                         // this process's part in a cluster; nil where there is none
 	gate     routing.Gate                   // the rules of a cluster; nil where there are none
 	origins  *protocol.Origins              // where calls carry what those go by
-	governor *govern.Governor               // the gate and what it counts limits by; nil where there are no rules
+	governor *enforcement.Enforcer          // the gate and what it counts limits by; nil where there are no rules
 	limits   *limits.Limits
-	versions *govern.Versions // the gate before the governor: versions of the API that end
-	usage    *usage.Reporter  // who uses them
+	versions *enforcement.Versions // the gate before the governor: versions of the API that end
+	usage    *usage.Reporter       // who uses them
 }
 
 // New listens on the network, and readies the connections' bounds, for what c says.
