--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -187,7 +187,7 @@
 }
 
 // places are the names under which a form of file has what check looks at.
-type places struct{ zone, class, attempts, multiple, start, window, memory string }
+type places struct{ zone, class, connect, attempts, multiple, start, window, memory string }
 
 // check looks for what no single value shows. Both forms of file go through it.
 func (c *Config) check(f *config.File, at places) {
@@ -201,6 +201,9 @@
 		f.Fail("limits.sockets", "more than 0 is expected")
 	}
 	d := &c.Decide
+	if d.ConnectTime <= 0 {
+		f.Fail(at.connect, "more than 0 is expected: no connection would ever come up in time")
+	}
 	if d.Limits.MaxAttempts < 1 {
 		f.Fail(at.attempts, "at least 1 is expected")
 	}
--- a/internal/program/config_json.go
+++ b/internal/program/config_json.go
@@ -62,7 +62,7 @@
 	for _, k := range names.Classes {
 		c.Names.Classes = append(c.Names.Classes, k.Name)
 	}
-	c.check(f, places{zone: "settings.zone", class: "settings.classes", attempts: "settings.ceilings.max_attempts",
+	c.check(f, places{zone: "settings.zone", class: "settings.classes", connect: "settings.ceilings.connect_timeout_us", attempts: "settings.ceilings.max_attempts",
 		multiple: "settings.safety.fall_multiple", start: "settings.safety.start_capacity", window: "dedup_window_us",
 		memory: "limits.memory_mb"})
 	return own{file.Name, file.Listen, file.Discovery, file.Operator}, f.Err()
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -19,20 +19,21 @@
 	for name, test := range map[string]struct {
 		unset, listen, fd, from, to, want string
 	}{
-		"inherited":         {fd: "4"},
-		"not a descriptor":  {fd: "four", want: "EDGE_ACCEPT_FD"},
-		"below zero":        {fd: "-1", want: "EDGE_ACCEPT_FD"},
-		"whole":             {},
-		"variable":          {unset: "EDGE_LISTEN", want: "EDGE_LISTEN: missing"},
-		"address":           {listen: "127.0.0.1:web", want: "EDGE_LISTEN"},
-		"every address":     {listen: ":3000", want: "EDGE_LISTEN"},
-		"no file":           {unset: "EDGE_CONFIG", want: "EDGE_CONFIG: missing"},
-		"not JSON":          {from: `{"seed"`, to: `{seed`, want: "EDGE_CONFIG"},
-		"seed":              {from: "8c1f30d27a5be964", to: "xyz", want: "seed"},
-		"limits":            {from: `"sockets":1024`, to: `"sockets":0`, want: "limits"},
-		"known":             {from: `"generation":1,`, want: "known"},
-		"setting missing":   {from: `"max_attempts":3,`, want: "ceilings.max_attempts"},
-		"setting of a kind": {from: `"drain_grace_us":750000`, to: `"drain_grace_us":"soon"`, want: "safety.drain_grace_us"},
+		"inherited":          {fd: "4"},
+		"not a descriptor":   {fd: "four", want: "EDGE_ACCEPT_FD"},
+		"below zero":         {fd: "-1", want: "EDGE_ACCEPT_FD"},
+		"whole":              {},
+		"variable":           {unset: "EDGE_LISTEN", want: "EDGE_LISTEN: missing"},
+		"address":            {listen: "127.0.0.1:web", want: "EDGE_LISTEN"},
+		"every address":      {listen: ":3000", want: "EDGE_LISTEN"},
+		"no file":            {unset: "EDGE_CONFIG", want: "EDGE_CONFIG: missing"},
+		"not JSON":           {from: `{"seed"`, to: `{seed`, want: "EDGE_CONFIG"},
+		"seed":               {from: "8c1f30d27a5be964", to: "xyz", want: "seed"},
+		"limits":             {from: `"sockets":1024`, to: `"sockets":0`, want: "limits"},
+		"known":              {from: `"generation":1,`, want: "known"},
+		"setting missing":    {from: `"max_attempts":3,`, want: "ceilings.max_attempts"},
+		"no time to connect": {from: `"connect_timeout_us":250000,`, want: "ceilings.connect_timeout_us"},
+		"setting of a kind":  {from: `"drain_grace_us":750000`, to: `"drain_grace_us":"soon"`, want: "safety.drain_grace_us"},
 	} {
 		path := filepath.Join(t.TempDir(), "config.json")
 		text := strings.Replace(file, test.from, test.to, 1)
--- a/internal/program/config_toml.go
+++ b/internal/program/config_toml.go
@@ -183,7 +183,7 @@
 			{"registry", cmp.Or(c.Registry, x.Registry)}}, !c.again)
 	}
 	if f.Err() == nil { // else the values may be missing, and each fault is told already
-		c.check(f, places{zone: "zone", class: "class", attempts: "delegations.max_attempts", multiple: "rules.fall_multiple",
+		c.check(f, places{zone: "zone", class: "class", connect: "connections.connect_timeout", attempts: "delegations.max_attempts", multiple: "rules.fall_multiple",
 			start: "rules.start_capacity", window: "window", memory: "limits.memory"})
 	}
 	return own{x.Name, x.Listen, x.Registry, x.Operator}, f.Err()
