At the planned end requests sent ahead are answered, and clients' leaving counts to the last

Cause: after SIGTERM the answer at hand carried Connection: close whatever lay behind it (last and answer in protocol), so that requests already sent on the connection were dropped. A request behind another was given its whole time anew when its turn came, which made the exit as late as the times of all of them added up.

Change: a connection with bytes of further requests is steered away after those. Whether there are any is asked of the socket, not of what the watching goroutine has read so far. Once Closing is done nothing more is read as a request behind those held. A request's time counts from when its bytes were read ahead; where none is left it is refused, since nothing of it has gone out.

Ruled out: signals. They are caught before the listening socket is bound (cli.serve), a second SIGTERM is dropped by heed, and the scenario sends one.

--- a/internal/program/ending_test.go
+++ b/internal/program/ending_test.go
@@ -49,3 +49,56 @@
 		b send GET /availability/y id=t9 expires=3000m
 		w1 expect GET /availability/y id=t9`})
 }
+
+// What has been sent when the process is told to end is answered, also where it waits behind another request of its
+// connection; half a request is no request.
+func TestPlannedEnd(t *testing.T) {
+	const first = `
+		a send GET /availability/x id=t1 expires=3000m
+		w1 expect GET /availability/x id=t1`
+	for name, s := range map[string]scenario{
+		"pipelined": {known: "0=up", script: first + `
+			a send GET /availability/x id=t2 expires=3000m
+			a send "GET /nothing/x HTTP/1.1\r\n\r\n"
+			sidecar send TERM
+			log expect event=drain
+			sidecar send TERM
+			w1 send 200 one
+			a expect 200 one
+			w1 expect GET /availability/x id=t2
+			w1 send 200 two
+			a expect 200 two
+			a expect 400 close
+			sidecar wait exit`},
+		"half read": {known: "0=up", script: `
+			a send "GET /availability/x HTTP/1.1\r\nX-Trace-Id: t1\r\n"
+			c send "GET /_health HTTP/1.1\r\n\r\n"
+			c expect 200 ok
+			sidecar send TERM
+			c wait
+			a expect 408 close
+			sidecar wait exit`},
+		// A client's leaving counts up to the very end.
+		"client leaves after the listening has ended": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=60000m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			c send "GET /_health HTTP/1.1\r\n\r\n"
+			c expect 200 ok
+			sidecar send TERM
+			c wait
+			a close
+			w1 wait
+			sidecar wait exit`},
+		// The time of a request counts from its coming, not from its turn behind a worker that hangs.
+		"behind a worker that hangs": {known: "0=up", script: `
+			a send POST /booking/x id=t1 expires=600m body=b
+			w1 expect POST /booking/x id=t1 body=b
+			a send POST /booking/x id=t2 expires=500m body=b
+			sidecar send TERM
+			a expect 504
+			a expect 503 after=1 close
+			sidecar wait exit`},
+	} {
+		t.Run(name, func(t *testing.T) { t.Parallel(); play(t, s) })
+	}
+}
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -118,6 +118,8 @@
 		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && a.late.standing() > 0:
 			a.tellLate()
 			c.refuse(call)
+		case call.Budget <= 0: // its time has passed behind other requests of the connection
+			c.refuse(call)
 		case !a.traces.take(c.head.get(headerTrace), c.started):
 			c.reject(&failure{409, "the id of another call"})
 		default:
@@ -140,6 +142,7 @@
 	c.SetReadDeadline(time.Now().Add(wait))
 	if c.Closing.Err() != nil { // its own deadline has just been overwritten; a call that has come is still answered
 		c.SetReadDeadline(time.Now())
+		c.in.cut = c.in.cut || c.r.Buffered() > 0 // and of a client that goes on sending, those that are held
 	}
 	if !c.Enter(phase) {
 		return false
@@ -191,7 +194,10 @@
 }
 
 // last tells that the client's connection ends with the call at hand.
-func (c *client) last() bool { return c.head.closing || c.head.start[2][7] == '0' || c.steering() }
+func (c *client) last() bool { return c.asksEnd() || c.steering() && c.r.Buffered() == 0 }
+
+// asksEnd tells that the client itself wants no further request on its connection.
+func (c *client) asksEnd() bool { return c.head.closing || c.head.start[2][7] == '0' }
 
 // window reads a body that is short, or the beginning of a long one.
 func (c *client) window() (err error) {
@@ -247,7 +253,8 @@
 	if !ok {
 		return nil, &failure{400, "missing or invalid " + headerExpires}
 	}
-	patience := max(expires-answerMargin-c.late.standing(), 0) // from the message's last byte on, which has waited here
+	waited := c.late.standing() + time.Since(c.in.at) // here, behind other requests of the connection too
+	patience := max(expires-answerMargin-waited, 0)   // from the message's last byte on
 	call := &Call{Class: class, Budget: patience, Repeat: string(c.head.get(headerRepeat)) == "1",
 		Message: &request{head: &c.head, body: c.body, upload: c.upload}}
 	if c.Origins != nil {
@@ -294,9 +301,7 @@
 // refuse answers a call that is not handed over. Nothing of it has gone to a worker.
 func (c *client) refuse(call *Call) {
 	c.Figures.answered(call.Class, Refused)
-	if c.upload != nil {
-		c.closing = true
-	}
+	c.closing = c.closing || c.upload != nil || c.steered() && c.r.Buffered() == 0
 	c.answer(Answer{Verdict: Refused, Wait: c.Advice})
 	if c.upload != nil && c.Enter(transport.Lingering) {
 		c.absorb()
@@ -319,7 +324,7 @@
 		c.finishUpload(p, answer)
 		return
 	}
-	c.closing = c.closing || p.hasLeft()
+	c.closing = c.closing || p.hasLeft() || c.steered() && !p.ahead()
 	c.answer(answer)
 	p.end()
 	c.broken = c.broken || p.hasLeft()
@@ -330,7 +335,7 @@
 func (c *client) finishUpload(p *presence, answer Answer) {
 	err := c.upload.state()
 	if err == nil {
-		c.closing = c.last() || p.hasLeft()
+		c.closing = c.asksEnd() || p.hasLeft() || c.steered() && !p.ahead()
 	}
 	rejected := err != nil && err != errUnread
 	if rejected {
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -60,7 +60,7 @@
 	if held, ok := c.rejected.due(time.Now()); ok {
 		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "more", held)
 	}
-	c.closing = c.closing || c.Tight()
+	c.closing = c.closing || c.Tight() && c.r.Buffered() == 0
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
 }
 
@@ -104,11 +104,12 @@
 // steering tells that clients are to go elsewhere: the sidecar ends, or the operators have drained it.
 func (a *Acceptor) steering() bool { return a.Draining.Err() != nil || a.Held != nil && a.Held.Load() }
 
+// steered tells that a client had better go elsewhere after an answer. It keeps its connection for the requests that it has
+// sent ahead: they have been taken.
+func (c *client) steered() bool { return c.steering() || c.Tight() }
+
 // answer writes a call's one final answer.
 func (c *client) answer(a Answer) {
-	if c.steering() || c.Tight() {
-		c.closing = true
-	}
 	if c.send(&a) && a.Written != nil {
 		a.Written()
 	}
