--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -189,10 +189,10 @@
 	toEnd   bool  // up to the connection's end
 	inside  bool  // a chunk has begun whose end has not been read
 	over    bool  // the body has been read to its end
-	room    int64 // bytes that further chunks may bring
+	room    int64 // bytes that further chunks, or the rest up to the connection's end, may bring
 }
 
-// body is the framed body that follows a head, of at most most bytes where it comes in chunks. Without a length there is
+// body is the framed body that follows a head, of at most most bytes where it comes without a length. Without one there is
 // none, unless toEnd says that it goes up to the connection's end.
 func (h *head) body(r *bufio.Reader, toEnd bool, most int64) framed {
 	toEnd = toEnd && !h.chunked && h.length < 0
@@ -210,6 +210,9 @@
 		return 0, nil
 	case f.toEnd:
 		n, err := f.r.Read(p)
+		if f.room -= int64(n); f.room < 0 {
+			return 0, ErrBodyTooBig
+		}
 		f.over = err == io.EOF
 		return n, err
 	case f.chunked && f.left == 0:
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"math"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -163,7 +162,10 @@
 		if h.length < 0 && !h.chunked && reuse { // a body up to the connection's end, which nothing has announced
 			return false, malformed("answer without a length")
 		}
-		body := h.body(r, true, math.MaxInt64)
+		if h.length > MaxBody {
+			return false, ErrBodyTooBig
+		}
+		body := h.body(r, true, MaxBody)
 		most := maxHeld
 		switch {
 		case h.length > maxHeld && reply.Kind != ReplyServed: // nobody wants what an error says at such length
--- a/internal/transport/moment_test.go
+++ b/internal/transport/moment_test.go
@@ -99,6 +99,7 @@
 				a.Abort()
 				close(open)
 				check(t, a, false, ErrAborted)
+				io.ReadAll(get(t, conns)) // ends: the connection came up, and was closed
 				if len(made) > 0 {
 					t.Error("the message was made")
 				}
