--- a/internal/routing/told_test.go
+++ b/internal/routing/told_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -53,7 +54,7 @@
 			}
 		}()
 	}
-	class.Aim, class.Deadline, class.Worth = time.Minute, time.Minute, 1
+	class.Aim, class.Deadline, class.Worth = cmp.Or(class.Aim, time.Minute), time.Minute, 1
 	w.Router = New(t.Context(), Config{Decide: decide.Config{Subscribe: true, Classes: []decide.Class{class},
 		Safety: decide.Safety{FallMultiple: 3, TipAfter: time.Second, StartShare: 0.5},
 		Limits: decide.Limits{MaxAttempts: 4}},
@@ -277,7 +278,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w, open := begin(t, decide.Class{Effect: decide.Keyed, Window: test.window}, true, test.first)
+			w, open := begin(t, decide.Class{Effect: decide.Keyed, Window: test.window, Aim: 6 * time.Second}, true, test.first)
 			time.Sleep(window) // the window's end is the subject
 			open()
 			c := within(t, w.accepted[0])
