Descriptors set aside are named, and the operators' address has its own

Cause: transport.Split set 24 aside in one lump for the runtime, accepting, discovery, files and the operators' address, which alone holds up to 32 callers and its listener (operator.MaxConns): with silent callers there, connections could find no descriptor. Change: named parts, and 34 more where an operators' address is configured. Tests, green with the race detector: TestDescriptorsSetAside (the sum; it does not compile on the old code, which had no such part), and a scenario of idle clients that fill the table while discovery is silent, a guard.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -58,7 +58,7 @@
 
 // New listens on the network, and readies the connections' bounds, for what c says.
 func New(network transport.Network, c *Config, logger *slog.Logger) (*Sidecar, error) {
-	clients, spare, workers := transport.Split(c.Limits.Sockets)
+	clients, spare, workers := transport.Split(c.Limits.Sockets, operatorSockets(c))
 	listener, err := listen(network, c, clients, spare)
 	if err != nil {
 		return nil, err
@@ -88,6 +88,15 @@
 	return s, nil
 }
 
+// operatorSockets is how many descriptors the operators' address takes: its listener, the callers that it holds, and one
+// that it has just accepted and is about to close an older one for.
+func operatorSockets(c *Config) int {
+	if c.Operator == "" {
+		return 0
+	}
+	return operator.MaxConns + 2
+}
+
 // listen binds the clients' address, or takes the socket that the platform holds where it names one.
 func listen(network transport.Network, c *Config, clients, spare int) (*transport.Listener, error) {
 	if !c.Inherit {
--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -238,6 +238,23 @@
 			h wait
 			w1 send 200 ok
 			a expect 200 close ok`},
+		// Idle clients hold all that is theirs, and discovery answers nothing: operators, a new client and its attempt come through.
+		"idle clients while discovery is silent": {known: "0=up", sockets: 16, script: `
+			registry expect GET /catalog/members?since=1&timeout_ms=DRAWN
+			a send ""
+			b send ""
+			c send ""
+			d send ""
+			e send ""
+			f send ""
+			g send ""
+			h send ""
+			operator send READY
+			operator expect ACK ready
+			i send GET /availability/i id=i expires=3000m
+			w1 expect GET /availability/i id=i
+			w1 send 200 ok
+			i expect 200 ok`},
 		// Clients that ask once and stay must not fill the bound: near it, an answer ends its connection.
 		"a client that had better not stay": {known: "0=up", sockets: 16, script: `
 			a send GET /availability/a id=a expires=3000m
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -29,16 +29,22 @@
 
 func (b *Budget) give() { b.held.Add(-1) }
 
-// reserved descriptors belong to no connection that is counted: the standard streams, the poller, the
-// listener and the client that it has just accepted, the registry's connections, the files that the runtime
-// and a reload open.
-const reserved = 24
-
-// Split divides a process's descriptors. An open call holds one connection to its client and one to a
-// worker, so both sides get about the same; the clients' share is a little larger for those that hold a
-// connection without a call. A tenth of it is kept for connections that are only told to come back.
-func Split(sockets int) (clients, spare, workers int) {
-	n := max(sockets-reserved, 16)
+// Descriptors that belong to no connection that is counted, by what needs them. None of these may wait for a client to go.
+const (
+	reservedRuntime   = 8 // the standard streams and the poller
+	reservedAccept    = 2 // the clients' listener, and the client that it has just accepted
+	reservedDiscovery = 6 // calls to discovery, some beside one another
+	reservedFiles     = 8 // the configuration at a reload, what is kept for the next process, what the runtime opens
+	reserved          = reservedRuntime + reservedAccept + reservedDiscovery + reservedFiles
+
+	leastShared = 16 // for both sides, however few a platform grants
+)
+
+// Split divides a process's descriptors, operators of which are for the operators' address. An open call holds one
+// connection to its client and one to a worker, so both sides get about the same; the clients' share is a little larger for
+// those that hold a connection without a call. A tenth of it is kept for connections that are only told to come back.
+func Split(sockets, operators int) (clients, spare, workers int) {
+	n := max(sockets-reserved-operators, leastShared)
 	clients = n * 11 / 20
 	spare = max(clients/10, 1)
 	return clients - spare, spare, n - clients
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -11,6 +11,24 @@
 	"github.com/google/go-cmp/cmp"
 )
 
+// What no client may take is set aside whatever the platform grants, and all of the rest is given out.
+func TestDescriptorsSetAside(t *testing.T) {
+	for _, sockets := range []int{128, 512, 1024, 4096} {
+		for _, operators := range []int{0, 34} {
+			clients, spare, workers := Split(sockets, operators)
+			if free := sockets - clients - spare - workers; free != reserved+operators {
+				t.Errorf("of %d descriptors %d are set aside, %d for operators among them", sockets, free, operators)
+			}
+			if spare < 1 || clients < workers/2 || workers < clients/2 {
+				t.Errorf("of %d descriptors: %d for clients, %d spare, %d for workers", sockets, clients, spare, workers)
+			}
+		}
+	}
+	if clients, spare, workers := Split(0, 34); clients+spare+workers != leastShared {
+		t.Errorf("of none: %d for clients, %d spare, %d for workers", clients, spare, workers)
+	}
+}
+
 // Connections without a call must not keep others out, and one with a call must never be closed for others.
 func TestRoom(t *testing.T) {
 	for name, test := range map[string]struct {
