--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -119,8 +119,6 @@
 		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && a.late.standing() > 0:
 			a.tellLate()
 			c.refuse(call)
-		case call.Budget <= 0: // its time has passed behind other requests of the connection
-			c.refuse(call)
 		case !a.traces.take(c.head.get(headerTrace), c.started, a.Longest):
 			c.reject(&failure{409, "the id of another call"})
 		default:
@@ -144,7 +142,6 @@
 	c.SetReadDeadline(time.Now().Add(wait))
 	if c.Closing.Err() != nil { // its own deadline has just been overwritten; a call that has come is still answered
 		c.SetReadDeadline(time.Now())
-		c.in.cut = c.in.cut || c.r.Buffered() > 0 // and of a client that goes on sending, those that are held
 	}
 	if !c.Enter(phase) {
 		return false
@@ -196,10 +193,7 @@
 }
 
 // last tells that the client's connection ends with the call at hand.
-func (c *client) last() bool { return c.asksEnd() || c.steering() && c.r.Buffered() == 0 }
-
-// asksEnd tells that the client itself wants no further request on its connection.
-func (c *client) asksEnd() bool { return c.head.closing || c.head.start[2][7] == '0' }
+func (c *client) last() bool { return c.head.closing || c.head.start[2][7] == '0' || c.steering() }
 
 // window reads a body that is short, or the beginning of a long one.
 func (c *client) window() (err error) {
@@ -255,8 +249,7 @@
 	if !ok {
 		return nil, &failure{400, "missing or invalid " + headerExpires}
 	}
-	waited := c.late.standing() + time.Since(c.in.at) // here, behind other requests of the connection too
-	patience := max(expires-answerMargin-waited, 0)   // from the message's last byte on
+	patience := max(expires-answerMargin-c.late.standing(), 0) // from the message's last byte on, which has waited here
 	call := &Call{Class: class, Budget: patience, Repeat: string(c.head.get(headerRepeat)) == "1",
 		Message: &request{head: &c.head, body: c.body, upload: c.upload}}
 	if c.Origins != nil {
@@ -303,7 +296,9 @@
 // refuse answers a call that is not handed over. Nothing of it has gone to a worker.
 func (c *client) refuse(call *Call) {
 	c.Figures.answered(call.Class, Refused)
-	c.closing = c.closing || c.upload != nil || c.steered() && c.r.Buffered() == 0
+	if c.upload != nil {
+		c.closing = true
+	}
 	c.answer(Answer{Verdict: Refused, Wait: c.Advice})
 	if c.upload != nil && c.Enter(transport.Lingering) {
 		c.absorb()
@@ -326,7 +321,7 @@
 		c.finishUpload(p, answer)
 		return
 	}
-	c.closing = c.closing || p.hasLeft() || c.steered() && !p.ahead()
+	c.closing = c.closing || p.hasLeft()
 	c.answer(answer)
 	p.end()
 	c.broken = c.broken || p.hasLeft()
@@ -337,7 +332,7 @@
 func (c *client) finishUpload(p *presence, answer Answer) {
 	err := c.upload.state()
 	if err == nil {
-		c.closing = c.asksEnd() || p.hasLeft() || c.steered() && !p.ahead()
+		c.closing = c.last() || p.hasLeft()
 	}
 	rejected := err != nil && err != errUnread
 	if rejected {
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -60,14 +60,14 @@
 	if held, ok := c.rejected.due(time.Now()); ok {
 		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "more", held)
 	}
-	c.closing = c.closing || c.Tight() && c.r.Buffered() == 0
+	c.closing = c.closing || c.Tight()
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
 }
 
 // Bounds of what is still read of a client after the end has been sent to it.
 const (
 	lingerTime  = 500 * time.Millisecond
-	lingerShort = 50 * time.Millisecond // where the process ends, or the connection is one of the few spare ones
+	lingerShort = 50 * time.Millisecond // where the connection is one of the few spare ones
 	lingerBytes = 256 << 10
 )
 
@@ -76,11 +76,14 @@
 // overtake an answer. What is read here is dropped. Meanwhile the connection may be closed to make room for another.
 func (c *client) finish() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.Closing.Err() != nil { // the process ends: who sends on a connection that is half open finds nobody to ask again
+		return
+	}
 	if c.broken || !ok || !c.Enter(transport.Lingering) || half.CloseWrite() != nil {
 		return
 	}
 	wait := lingerTime
-	if c.Crowded || c.Closing.Err() != nil {
+	if c.Crowded {
 		wait = lingerShort
 	}
 	c.SetReadDeadline(time.Now().Add(wait))
@@ -104,12 +107,11 @@
 // steering tells that clients are to go elsewhere: the sidecar ends, or the operators have drained it.
 func (a *Acceptor) steering() bool { return a.Draining.Err() != nil || a.Held != nil && a.Held.Load() }
 
-// steered tells that a client had better go elsewhere after an answer. It keeps its connection for the requests that it has
-// sent ahead: they have been taken.
-func (c *client) steered() bool { return c.steering() || c.Tight() }
-
 // answer writes a call's one final answer.
 func (c *client) answer(a Answer) {
+	if c.steering() || c.Tight() {
+		c.closing = true
+	}
 	if c.send(&a) && a.Written != nil {
 		a.Written()
 	}
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -25,9 +25,8 @@
 // source is what the buffer of a client's connection reads from.
 type source struct {
 	conn  *transport.Client
-	again []byte    // read into a smaller buffer before, and given out again first
-	cut   bool      // too much has come ahead, or the process ends: what is not held yet is never read as a request
-	at    time.Time // when bytes came last
+	again []byte // read into a smaller buffer before, and given out again first
+	cut   bool   // too much has come ahead: what is not held yet is never read as a request
 }
 
 // Read reads from the connection. After a cut it returns io.EOF.
@@ -40,11 +39,7 @@
 	if s.cut {
 		return 0, io.EOF
 	}
-	n, err := s.conn.Read(b)
-	if n > 0 {
-		s.at = time.Now()
-	}
-	return n, err
+	return s.conn.Read(b)
 }
 
 // presence tells whether a client is still there while a request of its is open. The end of a client that has sent on
@@ -122,13 +117,8 @@
 	for {
 		err := p.client.Await()
 		switch {
-		case errors.Is(err, errors.ErrUnsupported):
+		case err != nil && (isTimeout(err) || errors.Is(err, errors.ErrUnsupported)):
 			return
-		case err != nil && isTimeout(err):
-			if !p.wake() {
-				return
-			}
-			continue
 		case err != nil:
 			p.mu.Lock()
 			p.leave()
@@ -141,26 +131,6 @@
 	}
 }
 
-// wake goes on after a deadline that has ended the waiting, unless end has set it. Else the process ends: what comes from
-// now on is not read as a request.
-func (p *presence) wake() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.over {
-		p.client.in.cut = true
-		p.client.SetReadDeadline(time.Time{})
-	}
-	return !p.over
-}
-
-// ahead looks at the connection and tells that bytes of a further request have come.
-func (p *presence) ahead() bool {
-	p.here()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.client.r.Buffered() > 0
-}
-
 // hasLeft tells that the client has been seen to leave.
 func (p *presence) hasLeft() bool {
 	p.mu.Lock()
--- a/internal/sim/mutant.go
+++ b/internal/sim/mutant.go
@@ -54,7 +54,7 @@
 		one("calls-leak", "a call is never let go", "internal/routing/call.go",
 			"	delete(r.calls, t.id)\n", "	_ = t.id\n"),
 		one("late-answer", "a client's time is taken for half as long again", "internal/protocol/acceptor.go",
-			"max(expires-answerMargin-waited, 0)", "expires*3/2+0*waited"),
+			"max(expires-answerMargin-c.late.standing(), 0)", "expires*3/2"),
 		one("hup-ends", "SIGHUP ends the program", "internal/program/run.go",
 			"if signal == syscall.SIGHUP {", "if signal == syscall.SIGKILL {"),
 		one("ends-early", "a planned end does not wait for what is open", "internal/program/run.go",
