A request asked of a process before its health was seen belongs to that process

Cause: the judge (lab/judge/answers.go, asked) gave a request to the life before where the stage had not yet seen the new process's health; killed right then, that process left the request to the life before, which had been told to end long before, and it counted as lost. Change: after a process's end a request is the next life's. Test: a row of the judge's table.

--- a/internal/lab/judge/answers.go
+++ b/internal/lab/judge/answers.go
@@ -5,10 +5,10 @@
 func (j *Judge) asked(e *Event) {
 	if old := j.calls[e.Call]; old != nil { // sent once more over a new connection: the old one counts for nothing
 		old.asked, old.budget = e.At, e.Budget
-		old.life = j.sidecars[e.Sidecar].life
+		old.life = j.sidecars[e.Sidecar].next()
 		return
 	}
-	j.calls[e.Call] = &call{id: e.Call, arrival: e.Arrival, sidecar: e.Sidecar, life: j.sidecars[e.Sidecar].life, class: e.Class,
+	j.calls[e.Call] = &call{id: e.Call, arrival: e.Arrival, sidecar: e.Sidecar, life: j.sidecars[e.Sidecar].next(), class: e.Class,
 		asked: e.At, budget: e.Budget}
 	j.tally.asked(e)
 }
@@ -71,6 +71,15 @@
 	}
 }
 
+// next is the life that a request asked now belongs to: once a process has ended it is the next one's, which may serve
+// before its health has been seen.
+func (s *sidecar) next() int {
+	if s.up {
+		return s.life
+	}
+	return s.life + 1
+}
+
 // termTime is how long after SIGTERM whatever comes has to be answered. Later a sidecar need not take calls; one that it
 // reads must be answered all the same, also where SIGKILL comes first.
 const termTime = 700 * time.Millisecond
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -108,6 +108,7 @@
 		"the client left":                {[]Event{asked(0, safe), {At: 500 * milli, Kind: Quit, Call: safe}}, ""},
 		"gave up":                        {[]Event{asked(0, safe), {At: 1300 * milli, Kind: GaveUp, Call: safe}}, "no answer"},
 		"killed with it":                 {[]Event{asked(0, safe), {At: 1, Kind: Killed}, {At: 2, Kind: Ended, Call: safe}, {At: 3, Kind: Exited, Wanted: true}}, ""},
+		"asked before the next is seen":  {[]Event{{At: 1, Kind: Termed}, {At: 2, Kind: Exited, Wanted: true, Text: "term"}, asked(time.Second, safe), {At: time.Second + 1, Kind: Began}, {At: time.Second + 2, Kind: Killed}, {At: time.Second + 3, Kind: Ended, Call: safe, On: true}}, ""},
 		"killed, came back":              {[]Event{asked(0, safe), {At: 1, Kind: Killed}, {At: 2, Kind: Began}, {At: 3, Kind: Ended, Call: safe}}, ""},
 		"back, then lost":                {[]Event{{At: 1, Kind: Killed}, {At: 2, Kind: Began}, asked(3, safe), {At: 4, Kind: Ended, Call: safe}}, "lost"},
 		"taken after a term, ended late": {[]Event{{Kind: Termed}, asked(701*milli, safe), {At: 800 * milli, Kind: Ended, Call: safe}}, ""},
