--- /dev/null
+++ b/internal/program/stopped_test.go
@@ -0,0 +1,325 @@
+package program
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// owedWithin is what a client that stops in the middle of a request is owed: an error or a close, counted from its last byte.
+const owedWithin = 3 * time.Second
+
+// giveUp bounds a wait for what never comes.
+const giveUp = 12 * time.Second
+
+// wholeRequest is the request within which clients stop.
+const wholeRequest = "POST /booking/x HTTP/1.1\r\nX-Trace-Id: %s\r\nX-Qos: booking\r\nX-Expires-In: 2500m\r\nContent-Length: 20\r\n\r\n01234567890123456789"
+
+// openFor is how long the request is open behind which clients stop.
+const openFor = 1500 * time.Millisecond
+
+// slowBackend answers /slow paths after openFor, and all else at once.
+func slowBackend(t *testing.T) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			time.Sleep(openFor)
+		}
+		io.WriteString(w, "ok")
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// stopping is a client that stops in the middle of a request.
+type stopping struct {
+	before string // a whole request that is answered first
+	open   string // a whole request sent right before the part, whose answer comes first
+	part   string // what is sent of the request before the client stops
+}
+
+// play returns how long after its last byte the client got the first byte of an error, or the end.
+func (s stopping) play(addr string) (time.Duration, error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(giveUp))
+	r := bufio.NewReader(conn)
+	if s.before != "" {
+		io.WriteString(conn, s.before)
+		if err := skipAnswer(r); err != nil {
+			return 0, fmt.Errorf("the request before: %w", err)
+		}
+	}
+	if _, err := io.WriteString(conn, s.open+s.part); err != nil {
+		return 0, err
+	}
+	stopped := time.Now()
+	if s.open != "" {
+		if err := skipAnswer(r); err != nil {
+			return 0, fmt.Errorf("the open request: %w", err)
+		}
+	}
+	_, err = r.ReadByte()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return time.Since(stopped), fmt.Errorf("neither an error nor a close")
+	}
+	return time.Since(stopped), nil
+}
+
+func skipAnswer(r *bufio.Reader) error {
+	answer, err := http.ReadResponse(r, nil)
+	if err == nil {
+		_, err = io.Copy(io.Discard, answer.Body)
+	}
+	return err
+}
+
+// playAll plays all clients at once and reports the worst of those that were not ended in time.
+func playAll(t *testing.T, addr string, clients []stopping) {
+	t.Helper()
+	var (
+		all   sync.WaitGroup
+		mu    sync.Mutex
+		late  int
+		worst time.Duration
+		which string
+	)
+	for _, client := range clients {
+		all.Go(func() {
+			took, err := client.play(addr)
+			mu.Lock()
+			defer mu.Unlock()
+			if took <= owedWithin && err == nil {
+				return
+			}
+			if late++; took >= worst {
+				worst, which = took, fmt.Sprintf("after %d bytes: %v", len(client.part), err)
+			}
+		})
+	}
+	all.Wait()
+	if late > 0 {
+		t.Errorf("%d of %d clients ended too late, the last after %v (%s)", late, len(clients), worst.Round(time.Millisecond), which)
+	}
+}
+
+var lastTrace struct {
+	sync.Mutex
+	n int
+}
+
+// freshTrace returns an id that no request has had.
+func freshTrace() string {
+	lastTrace.Lock()
+	defer lastTrace.Unlock()
+	lastTrace.n++
+	return fmt.Sprintf("stopped-%06d", lastTrace.n)
+}
+
+// booking is a whole request with an id of its own.
+func booking() string { return fmt.Sprintf(wholeRequest, freshTrace()) }
+
+// A client that stops at any byte of a request and stays is owed an error or a close within owedWithin.
+func TestStoppedClients(t *testing.T) {
+	slow := func() string { return strings.Replace(booking(), "/booking/x", "/booking/slow", 1) }
+	none := func() string { return "" }
+	for name, kind := range map[string]struct{ before, open func() string }{
+		"first on a connection":  {none, none},
+		"later on a connection":  {booking, none},
+		"behind an open request": {none, slow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, addr := start(t, slowBackend(t), 2048)
+			var clients []stopping
+			for n := 1; n < len(booking()); n++ {
+				clients = append(clients, stopping{kind.before(), kind.open(), booking()[:n]})
+			}
+			playAll(t, addr, clients)
+		})
+	}
+	t.Run("in other framings", func(t *testing.T) {
+		t.Parallel()
+		_, addr := start(t, slowBackend(t), 1024)
+		chunked := strings.Replace(booking(), "Content-Length: 20", "Transfer-Encoding: chunked", 1)
+		chunked, _, _ = strings.Cut(chunked, "0123")
+		long := strings.Replace(booking(), "Content-Length: 20", "Content-Length: 61440", 1)
+		waits := strings.Replace(long, "X-Qos", "Expect: 100-continue\r\nX-Qos", 1)
+		playAll(t, addr, []stopping{
+			{part: chunked + "40\r\nabc"}, {part: chunked + "3\r\nabc\r\n"}, {part: chunked + "3\r\nabc\r\n0\r\n"},
+			{part: long + strings.Repeat("x", 30<<10)}, {part: strings.TrimSuffix(waits, "01234567890123456789")},
+		})
+	})
+	t.Run("hundreds beyond the bound of connections", func(t *testing.T) {
+		t.Parallel()
+		_, addr := start(t, slowBackend(t), 1024)
+		clients := make([]stopping, 700)
+		for i := range clients {
+			request := booking()
+			clients[i].part = request[:len(request)-10]
+		}
+		served := make(chan error, 1)
+		go func() { served <- wholeBeside(addr) }()
+		playAll(t, addr, clients)
+		if err := <-served; err != nil {
+			t.Errorf("a whole request beside them: %v", err)
+		}
+	})
+	t.Run("a long body to a backend that does not read", func(t *testing.T) {
+		t.Parallel()
+		_, addr := start(t, deafBackend(t), 1024)
+		request := strings.Replace(booking(), "Content-Length: 20", "Content-Length: 16777216", 1)
+		playAll(t, addr, []stopping{{part: request + strings.Repeat("x", 300<<10)}})
+	})
+}
+
+// wholeBeside sends whole requests while others stop, each on a connection of its own; each has to have its answer in time.
+func wholeBeside(addr string) error {
+	for range 10 {
+		begun := time.Now()
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return err
+		}
+		conn.SetDeadline(begun.Add(giveUp))
+		io.WriteString(conn, booking())
+		err = skipAnswer(bufio.NewReader(conn))
+		conn.Close()
+		if took := time.Since(begun); err != nil || took > 2500*time.Millisecond {
+			return fmt.Errorf("after %v: %v", took, err)
+		}
+	}
+	return nil
+}
+
+// deafBackend accepts connections and reads nothing.
+func deafBackend(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// beginningBackend begins a long answer of which it sends n bytes, and stops.
+func beginningBackend(t *testing.T, n int) string {
+	ended := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "16777216")
+		w.Write(make([]byte, n))
+		w.(http.Flusher).Flush()
+		<-ended
+	}))
+	t.Cleanup(func() { close(ended); s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String()
+}
+
+// A client whose backend stops within an answer that has begun sees the broken end in its time, and half a second.
+func TestBackendStopsWithinAnswer(t *testing.T) {
+	t.Parallel()
+	_, addr := start(t, beginningBackend(t, 100<<10), 256)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	begun := time.Now()
+	conn.SetDeadline(begun.Add(giveUp))
+	io.WriteString(conn, strings.Replace(booking(), "2500m", "1000m", 1))
+	if err := skipAnswer(bufio.NewReader(conn)); err == nil {
+		t.Error("an answer that was not whole looks whole")
+	}
+	if took := time.Since(begun); took > owedWithin {
+		t.Errorf("the broken end came after %v", took)
+	}
+}
+
+// After SIGTERM the process may be killed once the longest deadline, 3 s at most, and 0.7 s are over: whatever its clients
+// and backends do, it has ended by then.
+func TestExitInTime(t *testing.T) {
+	const bound = 3700 * time.Millisecond // the settings' longest deadline is 3 s
+	for name, kind := range map[string]struct {
+		backend func(t *testing.T) string
+		send    string
+	}{
+		"a client that does not read a long answer": {endlessBackend, booking()},
+		"a backend that stops within an answer":     {func(t *testing.T) string { return beginningBackend(t, 100<<10) }, booking()},
+		"a backend that takes no body":              {deafBackend, strings.Replace(booking(), "Content-Length: 20", "Content-Length: 16777216", 1) + strings.Repeat("x", 300<<10)},
+		"a time beyond the longest deadline":        {deafBackend, strings.Replace(booking(), "2500m", "60000m", 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, addr := start(t, kind.backend(t), 256)
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+			if _, err := io.WriteString(conn, kind.send); err != nil {
+				t.Fatal(err)
+			}
+			untilOpen(t, addr)
+			signalled := time.Now()
+			c.Process.Signal(syscall.SIGTERM)
+			exited := make(chan error, 1)
+			go func() { exited <- c.Wait() }()
+			select {
+			case err := <-exited:
+				if took := time.Since(signalled); took > bound || err != nil {
+					t.Errorf("exit after %v: %v", took, err)
+				}
+			case <-time.After(giveUp):
+				c.Process.Kill()
+				t.Errorf("no exit within %v", giveUp)
+			}
+		})
+	}
+}
+
+// endlessBackend answers with 16 MiB.
+func endlessBackend(t *testing.T) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "16777216")
+		w.Write(make([]byte, 16<<20))
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// untilOpen returns once the sidecar has answered two requests for its health, each behind all that was sent before.
+func untilOpen(t *testing.T, addr string) {
+	t.Helper()
+	for range 2 {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, "GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n")
+		skipAnswer(bufio.NewReader(conn))
+		conn.Close()
+	}
+}
