--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -71,6 +71,7 @@
 	upload  *upload   // the rest of the body of the call at hand, nil where that is whole
 	started time.Time // of the call's first byte
 	asked   bool      // there has been a call before
+	stage   string    // what of the request at hand is read, for the log
 	closing bool      // no further call on this connection
 	broken  bool      // nothing is owed to the client any more, or it must see that an answer is not whole
 }
@@ -159,6 +160,8 @@
 func (c *client) read() (*Call, error) {
 	c.closing = true // until the message has been read whole, nothing can follow it
 	h := &c.head
+	h.fields = h.fields[:0] // those of the request before say nothing of this one
+	c.stage = "head"
 	if err := readHead(c.r, h); err != nil {
 		return nil, err
 	}
@@ -181,6 +184,7 @@
 			return nil, err
 		}
 	}
+	c.stage = "body"
 	if err := c.window(); err != nil {
 		return nil, err
 	}
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -58,7 +58,8 @@
 		return
 	}
 	if held, ok := c.rejected.due(time.Now()); ok {
-		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "more", held)
+		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "stage", c.stage, "id", string(c.head.get(headerTrace)),
+			"since_last_byte", time.Since(c.LastByte()).Round(time.Millisecond), "age", time.Since(c.Begun).Round(time.Millisecond), "more", held)
 	}
 	c.closing = c.closing || c.Tight()
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -106,9 +106,10 @@
 	Crowded bool      // beyond the limit: to be told to come back, not to be served
 
 	listener *Listener
-	socket   Socket      // the connection as one that can be asked; nil where it cannot
-	waiting  atomic.Bool // its goroutine waits for bytes, so that it holds none that it has not dealt with
-	phase    Phase       // guarded by the listener's mutex, like all below
+	socket   Socket       // the connection as one that can be asked; nil where it cannot
+	waiting  atomic.Bool  // its goroutine waits for bytes, so that it holds none that it has not dealt with
+	heard    atomic.Int64 // when its last bytes were read, in nanoseconds since started; 0 where none were
+	phase    Phase        // guarded by the listener's mutex, like all below
 	since    time.Time
 	place    *list.Element // in the phase's list, nil while Busy
 	evicted  bool          // closed to make room; no longer counted as open
@@ -225,12 +226,26 @@
 	c.Close()
 }
 
+// started is the moment from which times are counted that are kept as numbers; only its monotonic reading matters.
+var started = time.Now()
+
+// LastByte is when the client's last bytes were read, and when it was accepted where none were.
+func (c *Client) LastByte() time.Time {
+	if at := c.heard.Load(); at > 0 {
+		return started.Add(time.Duration(at))
+	}
+	return c.Begun
+}
+
 // Read reads what the client has sent. A deadline ends a wait for the client, not the reading of what is there already: a
 // process that is late finds the one passed and the other come, and the client has done its part.
 func (c *Client) Read(b []byte) (n int, err error) {
 	c.waiting.Store(true)
 	n, err = c.Conn.Read(b)
 	c.waiting.Store(false)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(started)))
+	}
 	for tries := 0; tries < 3 && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && Unread(c.Conn); tries++ {
 		c.SetReadDeadline(time.Time{})
 		n, err = c.Conn.Read(b)
