One owner for a client connection's deadlines, counted from its last byte; a bounded exit

Cause: each stage of a request armed a timer of its own on the socket and replaced what the earlier stage had left (head 2.5 s, body 4 s, what came behind an open request anew when its turn came), the accept loop waited for a slot where no timer runs, and the process's end waited for its last connection. Class: a debt to a peer without one owner of its deadline.

In the middle of a request two bounds hold: 2.5 s since the last byte, and the stage's end. A request's time counts from when its last byte came, also where it waited in the buffer behind an open one. Where no slot is free a client without a whole request gives its up: half a request is answered 408, not closed over. A worker that stops within an answer is waited for up to the client's end or 2.5 s. After SIGTERM everything has its end 0.2 s before the platform may kill: requests are ended by Router.End, connections by Listener.EndBy; what is left then is reset and logged (stop_forced). The client's leaving is still seen after the listening has ended.

TestRoom looks at uncounted in place of evicted, since half a request is no longer closed over; TestUploadPace uses a real connection, where only what is silent is late.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -29,8 +29,19 @@
 	refusedWait = time.Second            // advised to a client that is refused before the module is asked
 	memoryShare = 0.75                   // of the limit, left to the runtime; the rest is for what it does not count
 	idleShare   = 0.7                    // of the time after which a worker closes an idle connection
+
+	longestAwaited = 3 * time.Second        // of the settings' longest deadline, for which the platform waits after drainTime
+	exitMargin     = 200 * time.Millisecond // before the platform may kill the process, or half of that deadline
+	lastAnswers    = 50 * time.Millisecond  // for what is written once the requests have been ended
 )
 
+// exitAfter is the time after the signal to end at which requests are still answered; the platform may kill the process
+// drainTime and the longest deadline after the signal.
+func exitAfter(longest time.Duration) time.Duration {
+	awaited := min(longest, longestAwaited)
+	return drainTime + awaited - min(exitMargin, awaited/2)
+}
+
 // Apply sets the process's own limits to what the platform grants.
 func (l Limits) Apply() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
@@ -173,7 +184,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		s.listener.Accept(acceptor.Serve)
+		s.listener.Accept(acceptor.Serve, func(err error) { s.log.Warn("accept_failed", "err", err) })
 	}()
 	var ending atomic.Bool
 	doorDone := make(chan struct{})
@@ -191,21 +202,33 @@
 	}
 
 	signal := <-s.heed(working, signals, router)
+	exitBy := time.Now().Add(exitAfter(longest))
 	ending.Store(true)
 	drain()
 	s.log.Info("drain", "signal", signal.String()) // from here on every answer steers away
+	s.listener.EndBy(exitBy.Add(lastAnswers))
+	defer time.AfterFunc(time.Until(exitBy), router.End).Stop()
 	time.Sleep(drainTime)
 	s.listener.Close()
 	shut()
-	<-stopped
-	s.listener.Wait()
-	if s.door != nil {
-		s.door.Close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		<-stopped
+		s.listener.Wait()
+		if s.door != nil {
+			s.door.Close()
+		}
+		<-doorDone
+		stopRules()
+		s.closeMember()
+	}()
+	select {
+	case <-ended:
+		s.log.Info("stop")
+	case <-time.After(time.Until(exitBy) + 2*lastAnswers):
+		s.log.Error("stop_forced", "open", router.Open(), "reset", s.listener.ResetBusy())
 	}
-	<-doorDone
-	stopRules()
-	s.closeMember()
-	s.log.Info("stop")
 }
 
 // heed reloads at each SIGHUP until ctx is done, and passes on the first other signal.
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,9 @@
 	healthPath   = "/_health"
 	silentTime   = 2 * time.Second         // a new connection's time for its first byte
 	readTime     = 2500 * time.Millisecond // for one call's head, the first one counted from its connection's begin
+	leastSilent  = 250 * time.Millisecond  // the same two for a connection that waited long until it was accepted
+	leastRead    = 500 * time.Millisecond
+	stallTime    = 2500 * time.Millisecond // since a client's last byte, in the middle of a request; it is owed an error or a close in 3 s
 	idleTime     = 5 * time.Second         // a client's connection between two calls
 	writeTime    = 2 * time.Second         // for one short answer: the client is on this machine and wants it
 	answerMargin = 10 * time.Millisecond   // for the way of an answer back to its client
@@ -90,7 +94,7 @@
 	c := &client{Acceptor: a, Client: conn, in: source{conn: conn}}
 	c.small = bufio.NewReaderSize(&c.in, maxHead)
 	c.r = c.small
-	stop := context.AfterFunc(a.Closing, func() { conn.SetReadDeadline(time.Now()) })
+	stop := context.AfterFunc(a.Closing, conn.EndRest)
 	defer stop()
 	c.run()
 	c.finish()
@@ -117,7 +121,7 @@
 			c.refuse(call)
 		case a.late.presses.Load() && !c.presence().here(): // nobody waits for it any more
 			return
-		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && a.late.standing() > 0:
+		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && c.waited():
 			a.tellLate()
 			c.refuse(call)
 		case !a.traces.take(c.head.get(headerTrace), c.started, a.Longest):
@@ -135,14 +139,16 @@
 // await waits for a call's first byte. Until then the connection may be closed to make room for another.
 func (c *client) await() bool {
 	c.narrow()
-	phase, wait, limit := transport.Resting, idleTime, readTime
+	now := time.Now()
+	phase, until, limit := transport.Resting, now.Add(idleTime), readTime
 	if !c.asked { // who connects and says nothing, or half of something, is owed an end in 3 s altogether
-		phase, wait, limit = transport.Silent, silentTime, readTime-time.Since(c.Begun)
+		phase, until = transport.Silent, latest(c.Begun().Add(silentTime), now.Add(leastSilent))
+		limit = max(readTime-now.Sub(c.Begun()), leastRead)
 		c.asked = true
 	}
-	c.SetReadDeadline(time.Now().Add(wait))
-	if c.Closing.Err() != nil { // its own deadline has just been overwritten; a call that has come is still answered
-		c.SetReadDeadline(time.Now())
+	c.Receive(transport.Stage{Until: until, AtRest: true})
+	if c.Closing.Err() != nil { // a request that has come is still answered
+		c.EndRest()
 	}
 	if !c.Enter(phase) {
 		return false
@@ -151,11 +157,23 @@
 		return false
 	}
 	c.started = time.Now()
-	// With Closing done a deadline of the past stands; the call that has begun still gets its time.
-	c.SetReadDeadline(c.started.Add(limit))
+	c.receive(limit)
 	return true
 }
 
+// receive begins a part of a request: its bytes may take so long altogether, and pause for no longer than stallTime.
+func (c *client) receive(limit time.Duration) {
+	c.Receive(transport.Stage{Stall: stallTime, Until: time.Now().Add(limit)})
+}
+
+// latest is the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // read reads one call whole. It returns nil for a health check.
 func (c *client) read() (*Call, error) {
 	c.closing = true // until the message has been read whole, nothing can follow it
@@ -180,7 +198,7 @@
 		return nil, ErrBodyTooBig
 	}
 	if is(h.get("Expect"), "100-continue") && (h.chunked || h.length > 0) && c.r.Buffered() == 0 {
-		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.Send(net.Buffers{[]byte("HTTP/1.1 100 Continue\r\n\r\n")}, writeTime); err != nil {
 			return nil, err
 		}
 	}
@@ -211,7 +229,7 @@
 		most = maxWindow
 	}
 	begun := time.Now()
-	c.SetReadDeadline(begun.Add(bodyLimit(int64(most))))
+	c.receive(bodyLimit(int64(most)))
 	if c.body, err = body.upTo(c.body, most); err != nil {
 		return err
 	}
@@ -221,7 +239,7 @@
 		}
 	}
 	if !body.over {
-		c.upload = newUpload(body, c.Client.Conn, time.Since(begun), int64(len(c.body)), 0)
+		c.upload = newUpload(body, c.Client, time.Since(begun), int64(len(c.body)), 0)
 	}
 	return nil
 }
@@ -253,7 +271,7 @@
 	if !ok {
 		return nil, &failure{400, "missing or invalid " + headerExpires}
 	}
-	patience := max(expires-answerMargin-c.late.standing(), 0) // from the message's last byte on, which has waited here
+	patience := c.patience(expires)
 	call := &Call{Class: class, Budget: patience, Repeat: string(c.head.get(headerRepeat)) == "1",
 		Message: &request{head: &c.head, body: c.body, upload: c.upload}}
 	if c.Origins != nil {
@@ -266,6 +284,24 @@
 	return call, nil
 }
 
+// patience is what is left of a client's time, which began with its request's last byte. That may have waited in the kernel
+// and, behind an open request, in this connection's buffer; the end of the process may come before it.
+func (c *client) patience(expires time.Duration) time.Duration {
+	left := max(expires-answerMargin-c.late.standing(), 0)
+	if c.upload == nil {
+		left -= time.Since(c.in.arrived(c.r))
+	}
+	if end := c.End(); !end.IsZero() {
+		left = min(left, time.Until(end)-answerMargin)
+	}
+	return max(left, 0)
+}
+
+// waited tells that a request has waited here for a part of its client's time.
+func (c *client) waited() bool {
+	return c.late.standing() > 0 || c.upload == nil && time.Since(c.in.arrived(c.r)) > answerMargin
+}
+
 // parseExpires reads a number and a unit, m or u.
 func parseExpires(v []byte) (time.Duration, bool) {
 	if len(v) < 2 {
@@ -316,7 +352,7 @@
 	p := c.presence()
 	call.Left, call.Present = p.left, p.here
 	if c.upload == nil {
-		c.SetReadDeadline(time.Time{})
+		c.Hold()
 	}
 	go p.watch()
 	answer := c.Handler.Serve(call)
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -20,14 +20,13 @@
 // absorb reads on what the client still sends of a message that has been answered before its end: closing would reset the
 // connection, and the reset can overtake the answer.
 func (c *client) absorb() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+	if c.CloseWrite() != nil {
 		return
 	}
 	c.broken = true // its end is out already
 	end := time.Now().Add(absorbTime)
 	for n := 0; n < MaxBody && time.Now().Before(end) && c.Closing.Err() == nil; {
-		c.SetReadDeadline(time.Now().Add(absorbStep))
+		c.Receive(transport.Stage{Until: time.Now().Add(absorbStep), AtRest: true})
 		m, err := c.r.Discard(maxHead)
 		if n += m; err != nil {
 			return
@@ -59,7 +58,7 @@
 	}
 	if held, ok := c.rejected.due(time.Now()); ok {
 		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "stage", c.stage, "id", string(c.head.get(headerTrace)),
-			"since_last_byte", time.Since(c.LastByte()).Round(time.Millisecond), "age", time.Since(c.Begun).Round(time.Millisecond), "more", held)
+			"since_last_byte", time.Since(c.LastByte()).Round(time.Millisecond), "age", time.Since(c.Begun()).Round(time.Millisecond), "more", held)
 	}
 	c.closing = c.closing || c.Tight()
 	c.write(f.status, nil, "", []byte(f.text+"\n"))
@@ -76,18 +75,17 @@
 // for a while until the client has closed too. Closing over unread bytes would reset the connection, and the reset can
 // overtake an answer. What is read here is dropped. Meanwhile the connection may be closed to make room for another.
 func (c *client) finish() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if c.Closing.Err() != nil { // the process ends: who sends on a connection that is half open finds nobody to ask again
 		return
 	}
-	if c.broken || !ok || !c.Enter(transport.Lingering) || half.CloseWrite() != nil {
+	if c.broken || !c.Enter(transport.Lingering) || c.CloseWrite() != nil {
 		return
 	}
 	wait := lingerTime
-	if c.Crowded {
+	if c.Pressed() {
 		wait = lingerShort
 	}
-	c.SetReadDeadline(time.Now().Add(wait))
+	c.Receive(transport.Stage{Until: time.Now().Add(wait), AtRest: true})
 	piece := make([]byte, dropPiece)
 	for n := 0; n < lingerBytes; {
 		m, err := c.Client.Read(piece)
@@ -123,7 +121,7 @@
 	switch a.Verdict {
 	case Served:
 		if a.Reply.Rest != nil {
-			return c.relay(a.Reply, a.Header)
+			return c.relay(a.Reply, a.Header, a.End)
 		}
 		return c.write(200, a.Reply.Header, a.Header, a.Reply.Body)
 	case Refused:
@@ -160,16 +158,16 @@
 		tail += "Connection: close\r\n"
 	}
 	out := net.Buffers{[]byte(statusLines[status]), header, []byte(tail + "\r\n"), body}
-	c.SetWriteDeadline(time.Now().Add(writeTime))
-	_, err := out.WriteTo(c.Conn)
+	err := c.Send(out, writeTime)
 	c.broken = c.broken || err != nil
 	c.closing = c.closing || c.broken
 	return err == nil
 }
 
 // relay passes an answer on whose rest is still to come. It ends the connection where the worker breaks off, so that the
-// client can tell, and the worker's where the client does. It tells whether all of it was written.
-func (c *client) relay(reply *Reply, extra string) bool {
+// client can tell, and the worker's where the client does. A worker that has stopped is waited for up to the client's end, or for relayStall where that is later. It tells
+// whether all of it was written.
+func (c *client) relay(reply *Reply, extra string, end time.Time) bool {
 	framing, chunked := "", false
 	switch {
 	case reply.Length >= 0:
@@ -195,23 +193,30 @@
 		if chunked && reply.rest.over {
 			out = append(out, []byte("0\r\n\r\n"))
 		}
-		c.SetWriteDeadline(time.Now().Add(relayTime))
-		if _, err := out.WriteTo(c.Conn); err != nil || reply.rest.over {
+		if err := c.Send(out, relayTime); err != nil || reply.rest.over {
 			c.broken = c.broken || err != nil
 			c.closing = c.closing || c.broken
 			reply.Rest.Close(err == nil && reply.reuse)
 			return err == nil
 		}
-		reply.Rest.SetDeadline(time.Now().Add(relayTime))
+		reply.Rest.ReadBy(c.endBefore(latest(end, time.Now().Add(relayStall))))
 		n, err := reply.rest.Read(buf)
 		if err != nil && err != io.EOF {
 			c.closing, c.broken = true, true
 			reply.Rest.Close(false)
-			if reset, ok := c.Conn.(interface{ SetLinger(int) error }); ok && !chunked && reply.Length < 0 {
-				reset.SetLinger(0) // its end would else look like the answer's
+			if !chunked && reply.Length < 0 {
+				c.Reset() // its end would else look like the answer's
 			}
 			return false
 		}
 		out, piece = out[:0], buf[:n]
 	}
 }
+
+// endBefore is a time, or the connection's end where that is earlier.
+func (c *client) endBefore(t time.Time) time.Time {
+	if end := c.End(); !end.IsZero() && end.Before(t) {
+		return end
+	}
+	return t
+}
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -59,6 +59,7 @@
 	Verdict Verdict
 	Wait    time.Duration // with Refused and Limited: how long to stay away, 0 for no advice
 	Reply   *Reply        // with Served
+	End     time.Time     // with Served: when the client gives up
 	Header  string        // further header lines, each with its line's end; written as they are
 	Written func()        // called where all of it has been written to the client, on the goroutine that has; nil: nobody asks
 }
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -27,8 +27,20 @@
 	conn  *transport.Client
 	again []byte // read into a smaller buffer before, and given out again first
 	cut   bool   // too much has come ahead: what is not held yet is never read as a request
+
+	total    int64     // bytes read from the connection
+	arrivals []arrival // when those came that may still be asked about, in their order
+}
+
+// arrival says when the bytes of a connection up to a place had come.
+type arrival struct {
+	upTo int64
+	at   time.Time
 }
 
+// maxArrivals bounds what is remembered of arrivals; beyond it two count as one, with the earlier time.
+const maxArrivals = 32
+
 // Read reads from the connection. After a cut it returns io.EOF.
 func (s *source) Read(b []byte) (int, error) {
 	if len(s.again) > 0 {
@@ -39,7 +51,29 @@
 	if s.cut {
 		return 0, io.EOF
 	}
-	return s.conn.Read(b)
+	n, err := s.conn.Read(b)
+	if n > 0 {
+		s.total += int64(n)
+		if len(s.arrivals) == maxArrivals {
+			s.arrivals[maxArrivals-1].upTo = s.total
+		} else {
+			s.arrivals = append(s.arrivals, arrival{s.total, s.conn.LastByte()})
+		}
+	}
+	return n, err
+}
+
+// arrived is when the byte had come that was taken last from r, which reads from s: the last one of the request at hand,
+// once that has been read. What came before it is forgotten.
+func (s *source) arrived(r *bufio.Reader) time.Time {
+	taken := s.total - int64(len(s.again)) - int64(r.Buffered())
+	for len(s.arrivals) > 1 && s.arrivals[0].upTo < taken {
+		s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
+	}
+	if len(s.arrivals) == 0 {
+		return time.Now()
+	}
+	return s.arrivals[0].at
 }
 
 // presence tells whether a client is still there while a request of its is open. The end of a client that has sent on
@@ -144,7 +178,7 @@
 	p.over = true
 	p.mu.Unlock()
 	close(p.done)
-	p.client.SetReadDeadline(time.Now())
+	p.client.Wake()
 	<-p.watched
 }
 
--- a/internal/protocol/presence_test.go
+++ b/internal/protocol/presence_test.go
@@ -18,7 +18,7 @@
 		t.Fatal(err)
 	}
 	served, done := make(chan *transport.Client), make(chan struct{})
-	go l.Accept(func(c *transport.Client) { served <- c; <-done })
+	go l.Accept(func(c *transport.Client) { served <- c; <-done }, nil)
 	far, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -266,15 +265,15 @@
 		"16 kB/s for a minute":          {waited: time.Minute, got: 960 << 10},
 		"waited for long by its worker": {got: 1 << 20, ok: true},
 	} {
-		client, server := net.Pipe()
-		u := newUpload((&head{length: 64 << 20}).body(bufio.NewReader(server), false, MaxBody), server, c.waited, c.got, time.Second)
-		go client.Write([]byte("more"))
+		server, client := connected(t)
+		u := newUpload((&head{length: 64 << 20}).body(server.r, false, MaxBody), server.Client, c.waited, c.got, time.Second)
+		if c.ok { // what lies there is read, however late
+			client.Write([]byte("more"))
+		}
 		n, err := u.read(make([]byte, pieceSize))
 		if (err == nil && n > 0) != c.ok || err != nil && !isTimeout(err) {
 			t.Errorf("%s: %d bytes, %v", name, n, err)
 		}
-		client.Close()
-		server.Close()
 	}
 }
 
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -14,12 +14,13 @@
 
 // Pace of long messages. A client may send its body at 64 kB a second; half of that is still let through.
 const (
-	maxWindow = 16 << 10        // bytes of a long message that are held, to go out again where that is lawful
-	bodyTime  = 2 * time.Second // for a body, beside what its length takes
-	bodyPace  = 32 << 10        // bytes a second
-	pieceSize = 16 << 10        // bytes of an upload on their way
-	relaySize = 32 << 10        // bytes of an answer on their way
-	relayTime = 10 * time.Second
+	maxWindow  = 16 << 10         // bytes of a long message that are held, to go out again where that is lawful
+	bodyTime   = 2 * time.Second  // for a body, beside what its length takes
+	bodyPace   = 32 << 10         // bytes a second
+	pieceSize  = 16 << 10         // bytes of an upload on their way
+	relaySize  = 32 << 10         // bytes of an answer on their way
+	relayTime  = 10 * time.Second // for a client to take one piece of an answer
+	relayStall = stallTime        // for a worker that stops within an answer, where its client's time is over
 )
 
 // bodyLimit is the time in which n bytes of a body have to come.
@@ -31,7 +32,7 @@
 // for that one's end before it reads on.
 type upload struct {
 	framed  framed
-	conn    net.Conn
+	conn    *transport.Client
 	expires time.Duration // the client's patience from the last byte on
 	waited  time.Duration // for the client, since the body began; what a slow worker takes is not the client's
 	got     int64         // bytes of it so far
@@ -46,7 +47,7 @@
 	err     error         // why it failed
 }
 
-func newUpload(f framed, conn net.Conn, waited time.Duration, got int64, expires time.Duration) *upload {
+func newUpload(f framed, conn *transport.Client, waited time.Duration, got int64, expires time.Duration) *upload {
 	return &upload{framed: f, conn: conn, waited: waited, got: got, expires: expires, since: time.Now().Add(-waited),
 		whole: make(chan struct{}), failed: make(chan struct{}), ended: make(chan struct{})}
 }
@@ -116,10 +117,10 @@
 		return 0, net.ErrClosed
 	}
 	begun := time.Now()
-	if u.framed.r.Buffered() == 0 && transport.Quiet(u.conn) {
+	if u.framed.r.Buffered() == 0 && u.conn.Quiet() {
 		u.since = begun
 	}
-	u.conn.SetReadDeadline(begun.Add(bodyLimit(u.got+int64(len(buf))) - u.waited))
+	u.conn.Receive(transport.Stage{Stall: stallTime, Until: begun.Add(bodyLimit(u.got+int64(len(buf))) - u.waited), Taken: true})
 	u.mu.Unlock()
 	n, err := u.framed.Read(buf)
 	u.got += int64(n)
@@ -144,7 +145,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.stopped {
-		u.conn.SetReadDeadline(time.Time{})
+		u.conn.Hold()
 	}
 	return !u.stopped, nil
 }
@@ -169,7 +170,7 @@
 	u.mu.Lock()
 	u.stopped = true
 	taken := u.taken
-	u.conn.SetReadDeadline(time.Now())
+	u.conn.Wake()
 	u.mu.Unlock()
 	if taken {
 		<-u.ended
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -93,7 +93,7 @@
 	out := make([]*delegation, 0, 2)               // the delegations that are out
 	results := make(chan transport.Result, copies) // theirs; there is room for all, so that none waits
 	var final *protocol.Answer                     // the answer, once chosen
-	left := call.Left
+	left, ending := call.Left, r.ending
 	var whole <-chan struct{} // the rest of a long message has come
 	if call.Upload != nil {
 		whole = call.Upload.Whole()
@@ -150,7 +150,7 @@
 			switch {
 			case status == decide.OK && final == nil:
 				d.Reply.Rest = result.Rest
-				final = &protocol.Answer{Verdict: protocol.Served, Reply: d.Reply}
+				final = &protocol.Answer{Verdict: protocol.Served, Reply: d.Reply, End: t.end}
 				abort(out)
 			case result.Rest != nil:
 				result.Rest.Close(false)
@@ -190,9 +190,13 @@
 				continue
 			}
 			r.Log.Error("call_overdue", "call", t.id, "delegations", t.tries)
-			r.tell(decide.Event{Kind: decide.Left, ID: t.id})
-			final = &protocol.Answer{Verdict: protocol.Expired}
-			abort(out)
+			final = r.giveUp(t, out)
+
+		case <-ending:
+			ending = nil
+			if final == nil {
+				final = r.giveUp(t, out)
+			}
 		}
 		if len(out) == 0 && (final != nil || left == nil) {
 			if final == nil {
@@ -203,6 +207,13 @@
 	}
 }
 
+// giveUp ends a call without asking the module, which is told that it is over.
+func (r *Router) giveUp(t *task, out []*delegation) *protocol.Answer {
+	r.tell(decide.Event{Kind: decide.Left, ID: t.id})
+	abort(out)
+	return &protocol.Answer{Verdict: protocol.Expired}
+}
+
 // extend moves the end of a call whose client still sends.
 func (t *task) extend(out []*delegation) {
 	if t.call.Upload == nil {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -54,7 +54,9 @@
 // Router owns the module and all open calls of one sidecar.
 type Router struct {
 	Config
-	origin time.Time // the module's clock counts from Unix time zero, on by this one's monotonic reading
+	ending chan struct{} // closed when requests have to end
+	end    sync.Once     // closes ending
+	origin time.Time     // the module's clock counts from Unix time zero, on by this one's monotonic reading
 	ctx    context.Context
 
 	mu       sync.Mutex
@@ -80,7 +82,7 @@
 // New returns a Router that knows the workers of the list known. It works until ctx is done.
 func New(ctx context.Context, c Config, known *protocol.List) *Router {
 	r := &Router{
-		Config: c, origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed), source: source{addr: c.Registry},
+		Config: c, ending: make(chan struct{}), origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed), source: source{addr: c.Registry},
 		calls: map[uint64]*task{}, ids: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
 		seen: map[string]bool{}, strange: map[string]int{},
 	}
@@ -102,6 +104,10 @@
 	return r.up > 0
 }
 
+// End ends every request that is open: it gets its final answer at once, whatever its client's time, and its attempts are
+// called off. The process is about to end.
+func (r *Router) End() { r.end.Do(func() { close(r.ending) }) }
+
 // Open is the number of calls that have no answer yet.
 func (r *Router) Open() int {
 	r.mu.Lock()
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -57,8 +57,8 @@
 	over chan bool
 }
 
-// SetDeadline bounds the reads of the rest.
-func (r *Rest) SetDeadline(t time.Time) { r.conn.SetReadDeadline(t) }
+// ReadBy bounds the reads of the rest.
+func (r *Rest) ReadBy(t time.Time) { r.conn.SetReadDeadline(t) }
 
 // Close ends the exchange: its connection is kept where reuse tells that the answer has been read to its end, else
 // closed. It is called exactly once.
--- a/internal/transport/inherit_test.go
+++ b/internal/transport/inherit_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 // descriptor returns a copy of the descriptor of what f's owner holds, as a parent leaves it open for its child.
@@ -38,7 +39,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.Accept(func(c *Client) { io.WriteString(c, "old\n") })
+		l.Accept(func(c *Client) { c.Send(net.Buffers{[]byte("old\n")}, time.Second) }, nil)
 	}()
 	if got := greeting(t, held.Addr().String()); got != "old\n" {
 		t.Fatalf("through the inherited socket: %q", got)
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,8 +80,17 @@
 	// they hold the spare connections, and behind them nobody is told anything.
 	soon = 250 * time.Millisecond
 
+	// slotPause is the least wait between two looks for a slot.
+	slotPause = 10 * time.Millisecond
+
+	// atOnce is the time within which a system call returns that had nothing to wait for.
+	atOnce = time.Millisecond
+
+	// longestQueued bounds the time for which a client is held to have waited in the system's queue.
+	longestQueued = time.Second
+
 	// looks bounds the connections of a phase that are looked at for one that can make room.
-	looks = 8
+	looks = 32
 )
 
 // Listener hands each client's connection to a goroutine of its own.
@@ -94,25 +102,11 @@
 	room    chan struct{} // wakes one of the clients that wait for room
 	serving sync.WaitGroup
 
-	mu     sync.Mutex
-	open   int
-	phases [Busy]list.List // of *Client, the one longest in its phase first
-}
-
-// Client is a client's connection.
-type Client struct {
-	net.Conn
-	Begun   time.Time // when it was accepted
-	Crowded bool      // beyond the limit: to be told to come back, not to be served
-
-	listener *Listener
-	socket   Socket       // the connection as one that can be asked; nil where it cannot
-	waiting  atomic.Bool  // its goroutine waits for bytes, so that it holds none that it has not dealt with
-	heard    atomic.Int64 // when its last bytes were read, in nanoseconds since started; 0 where none were
-	phase    Phase        // guarded by the listener's mutex, like all below
-	since    time.Time
-	place    *list.Element // in the phase's list, nil while Busy
-	evicted  bool          // closed to make room; no longer counted as open
+	mu      sync.Mutex
+	open    int
+	clients map[*Client]struct{} // all that are connected
+	phases  [Busy]list.List      // of *Client, the one longest in its phase first
+	end     time.Time            // of all connections; zero while it is not known
 }
 
 // Listen listens on addr for at most limit connections and a few spare ones, which are served as crowded.
@@ -126,27 +120,48 @@
 
 // Serve is Listen on a socket that listens already, such as one that the platform handed over.
 func Serve(ln net.Listener, limit, spare int) *Listener {
-	return &Listener{ln: ln, limit: limit, graces: graces, slots: make(chan struct{}, limit+spare), room: make(chan struct{}, 1)}
+	return &Listener{ln: ln, limit: limit, graces: graces, slots: make(chan struct{}, limit+spare), room: make(chan struct{}, 1),
+		clients: map[*Client]struct{}{}}
 }
 
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
 // Accept serves connections until Close. At the limit a client without a call makes room for a new one; where
-// none does, further clients are served as crowded, and then wait in the system's queue. A client waits for room in a
-// goroutine of its own: those behind it may be told to come back meanwhile.
-func (l *Listener) Accept(serve func(c *Client)) {
+// none does, further clients are served as crowded, and then wait in the system's queue, up to the next that can make room.
+// A client waits for room in a goroutine of its own: those behind it may be told to come back meanwhile. Failures such as a
+// lack of descriptors pass: failed, unless nil, is told the first of several in a row.
+func (l *Listener) Accept(serve func(c *Client), failed func(error)) {
+	var queued time.Time // since when clients may have been waiting in the system's queue; zero where it was empty
+	failing := false
 	for {
+		asked := time.Now()
 		conn, err := l.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
+			if !failing && failed != nil {
+				failed(err)
+			}
+			failing = true
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &Client{Conn: conn, socket: asSocket(conn), Begun: time.Now(), listener: l}
-		l.slots <- struct{}{}
+		failing = false
+		now := time.Now()
+		if now.Sub(asked) >= atOnce {
+			queued = time.Time{}
+		}
+		begun := now
+		if !queued.IsZero() {
+			begun = later(queued, now.Add(-longestQueued))
+		}
+		c := &Client{deadlines: deadlines{conn: conn, begun: begun}, socket: asSocket(conn), listener: l}
+		if waited := l.takeSlot(); waited && queued.IsZero() {
+			queued = now
+		}
+		l.join(c)
 		l.serving.Go(func() {
 			defer l.release(c)
 			l.admit(c)
@@ -155,10 +170,65 @@
 	}
 }
 
+// takeSlot takes one of the slots, which bound the connections. Where none is free it makes a client without a call give
+// its up as soon as one can. It tells whether it had to wait.
+func (l *Listener) takeSlot() (waited bool) {
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return waited
+		default:
+		}
+		waited = true
+		l.mu.Lock()
+		wait := l.evict()
+		l.mu.Unlock()
+		select {
+		case l.slots <- struct{}{}:
+			return waited
+		case <-time.After(max(wait, slotPause)):
+		}
+	}
+}
+
+// join counts a connection among those that EndBy ends.
+func (l *Listener) join(c *Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clients[c] = struct{}{}
+	if !l.end.IsZero() {
+		c.EndBy(l.end)
+	}
+}
+
+// EndBy ends every connection by a time, those too that come after the call.
+func (l *Listener) EndBy(end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end = end
+	for c := range l.clients {
+		c.EndBy(end)
+	}
+}
+
+// ResetBusy resets the connections on which a request is still open, and returns how many there were. The process ends with
+// it: whoever serves them need not have noticed when it returns.
+func (l *Listener) ResetBusy() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.clients {
+		if c.phase == Busy {
+			c.Reset()
+			n++
+		}
+	}
+	return n
+}
+
 // admit counts a connection in, and waits for room below the limit as long as some can be made soon.
 func (l *Listener) admit(c *Client) {
 	spare := max(cap(l.slots)-l.limit, 1)
-	end := c.Begun.Add(soon * time.Duration(min(cap(l.slots)-len(l.slots)+1, spare)) / time.Duration(spare))
+	end := time.Now().Add(soon * time.Duration(min(cap(l.slots)-len(l.slots)+1, spare)) / time.Duration(spare))
 	for {
 		l.mu.Lock()
 		wait := time.Duration(0)
@@ -198,12 +268,12 @@
 	for phase := range l.phases {
 		for e, n := l.phases[phase].Front(), 0; e != nil && n < looks; e, n = e.Next(), n+1 {
 			c := e.Value.(*Client)
-			if left := l.graces[phase] - time.Since(c.since); left > 0 {
+			if left := l.graces[phase] - time.Since(c.quietSince()); left > 0 {
 				wait = min(wait, left)
-				break
+				continue
 			}
 			if c.idle() {
-				l.end(c)
+				l.makeRoom(c)
 				return 0
 			}
 		}
@@ -214,51 +284,28 @@
 	return wait
 }
 
-// idle tells that no call can be under way in a connection. What has come and not been read counts as one: where the
-// processor is short, a call waits in the kernel for longer than any grace, and a close would reset its connection.
-func (c *Client) idle() bool { return c.waiting.Load() && Quiet(c.Conn) }
-
-// end closes a connection without a call, which no longer counts as open. It is called under the lock.
-func (l *Listener) end(c *Client) {
+// makeRoom ends a connection without a call, which no longer counts as open. One with a part of a request is woken, so that
+// it is told so before its end; any other is closed. It is called under the lock.
+func (l *Listener) makeRoom(c *Client) {
 	l.leave(c)
-	c.evicted = true
-	l.open--
-	c.Close()
-}
-
-// started is the moment from which times are counted that are kept as numbers; only its monotonic reading matters.
-var started = time.Now()
-
-// LastByte is when the client's last bytes were read, and when it was accepted where none were.
-func (c *Client) LastByte() time.Time {
-	if at := c.heard.Load(); at > 0 {
-		return started.Add(time.Duration(at))
-	}
-	return c.Begun
-}
-
-// Read reads what the client has sent. A deadline ends a wait for the client, not the reading of what is there already: a
-// process that is late finds the one passed and the other come, and the client has done its part.
-func (c *Client) Read(b []byte) (n int, err error) {
-	c.waiting.Store(true)
-	n, err = c.Conn.Read(b)
-	c.waiting.Store(false)
-	if n > 0 {
-		c.heard.Store(int64(time.Since(started)))
+	if !c.uncounted {
+		c.uncounted = true
+		l.open--
 	}
-	for tries := 0; tries < 3 && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && Unread(c.Conn); tries++ {
-		c.SetReadDeadline(time.Time{})
-		n, err = c.Conn.Read(b)
-		c.SetReadDeadline(time.Now()) // what comes after it is late
+	if c.phase == Reading {
+		c.Wake()
+		return
 	}
-	return n, err
+	c.evicted = true
+	c.Close()
 }
 
 func (l *Listener) release(c *Client) {
 	c.Close()
 	l.mu.Lock()
 	l.leave(c)
-	if !c.evicted {
+	delete(l.clients, c)
+	if !c.uncounted {
 		l.open--
 	}
 	l.mu.Unlock()
@@ -274,31 +321,6 @@
 	}
 }
 
-// Enter begins a phase of the connection. It returns false where the connection has been closed to make room.
-func (c *Client) Enter(phase Phase) bool {
-	l := c.listener
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if c.evicted {
-		return false
-	}
-	l.leave(c)
-	c.phase, c.since = phase, time.Now()
-	if phase != Busy {
-		c.place = l.phases[phase].PushBack(c)
-	}
-	return true
-}
-
-// Tight tells that so many connections are in use or between two calls that a client had better not keep its
-// own after an answer. Those that are silent or lingering are left out: they are closed soon, whatever others do.
-func (c *Client) Tight() bool {
-	l := c.listener
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return float64(l.open-l.phases[Silent].Len()-l.phases[Lingering].Len()) > tightShare*float64(l.limit)
-}
-
 // CloseResting ends the wait of the connections that rest between two calls, as a sidecar that is drained does: their
 // clients are to go elsewhere, and nothing of theirs is open here. Whoever serves them ends them in order; one whose next
 // call has come already gets its answer first. It returns how many there are.
@@ -307,7 +329,7 @@
 	defer l.mu.Unlock()
 	resting := &l.phases[Resting]
 	for e := resting.Front(); e != nil; e = e.Next() {
-		e.Value.(*Client).SetReadDeadline(time.Now()) // whatever has come is read all the same
+		e.Value.(*Client).EndRest()
 	}
 	return resting.Len()
 }
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -68,13 +68,13 @@
 					<-hold
 				}
 				io.Copy(io.Discard, c)
-			})
+			}, nil)
 			first := connect(t, l)
 			one := <-served
 			if test.unread {
 				first.Write([]byte("x"))
 			}
-			for !one.waiting.Load() || test.unread && Quiet(one.Conn) {
+			for !one.waiting.Load() || test.unread && one.Quiet() {
 				time.Sleep(time.Millisecond)
 			}
 			for _, phase := range test.phases {
@@ -87,7 +87,7 @@
 				one.Close() // else its end is the eviction's work
 			}
 			io.Copy(io.Discard, first)
-			if diff := cmp.Diff(test.want, []bool{one.evicted, two.Crowded}); diff != "" {
+			if diff := cmp.Diff(test.want, []bool{one.uncounted, two.Crowded}); diff != "" {
 				t.Errorf("(-want +got)\n%s", diff)
 			}
 		})
@@ -102,15 +102,15 @@
 	}
 	defer l.Close()
 	served := make(chan *Client)
-	go l.Accept(func(c *Client) { served <- c; <-served })
+	go l.Accept(func(c *Client) { served <- c; <-served }, nil)
 	client := connect(t, l)
 	c := <-served
 	defer close(served)
 	client.Write([]byte("call"))
-	for Quiet(c.Conn) {
+	for c.Quiet() {
 		time.Sleep(time.Millisecond)
 	}
-	c.SetReadDeadline(time.Now().Add(-time.Second))
+	c.Receive(Stage{Until: time.Now().Add(-time.Second)})
 	b := make([]byte, 8)
 	if n, err := c.Read(b); string(b[:n]) != "call" || err != nil {
 		t.Errorf("read %q, %v", b[:n], err)
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"os"
 )
 
 // Network is where connections come from: the system's sockets, or a network in memory.
@@ -35,36 +33,6 @@
 	End   // the client has closed or reset the connection, and left no bytes
 )
 
-// Pending looks at the connection without waiting.
-func (c *Client) Pending() Pending {
-	if c.socket == nil {
-		return Unknown
-	}
-	if s, ok := c.socket.(interface{ Pending() Pending }); ok {
-		return s.Pending()
-	}
-	if c.socket.Quiet() {
-		return Nothing
-	}
-	err := c.socket.Await() // does not wait, since there is something
-	switch {
-	case err == nil:
-		return Bytes
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return Unknown
-	}
-	return End
-}
-
-// Await waits until there is something to read and reads nothing. It returns an error where the connection has ended,
-// its read deadline has passed, or the socket layer cannot wait so (errors.ErrUnsupported).
-func (c *Client) Await() error {
-	if c.socket == nil {
-		return errors.ErrUnsupported
-	}
-	return c.socket.Await()
-}
-
 // Quiet tells that nothing has come on a client's connection that has not been read. Where that cannot be told it returns
 // false.
 func Quiet(c net.Conn) bool {
