A request that nothing may run again is answered at once, not near its client's end

Seen: a test took 20 s, the whole time of its client. An unsafe request whose attempt may have run, and a keyed one whose window is over, were held in the hope of a server that no rule could ever allow, up to near their end.

Change: dispatch and outcome ask runsAgain, and spend no retry token there.

All rules kept.

--- a/decide/request.go
+++ b/decide/request.go
@@ -36,8 +36,8 @@
 		return
 	}
 	step := min(holdStep, r.end-b.now-b.c.Tick)
-	if step <= 0 || len(r.tries) >= b.c.Limits.MaxAttempts || b.late(r) {
-		b.answer(r)
+	if step <= 0 || len(r.tries) >= b.c.Limits.MaxAttempts || b.late(r) || !b.runsAgain(r) {
+		b.answer(r) // nothing is held back that no wait can help
 		return
 	}
 	b.wake(step, tokHold, 0, r.id)
@@ -155,7 +155,8 @@
 	// Soon seen, or already paid for, or no sign of load.
 	cheap := e.Status == ConnectFailed || e.Status >= Moot || r.resend
 	r.resend = false
-	if b.now >= r.end || b.late(r) || len(r.tries) >= b.c.Limits.MaxAttempts || !cheap && b.tokens < 1 {
+	over := b.now >= r.end || b.late(r) || len(r.tries) >= b.c.Limits.MaxAttempts || !b.runsAgain(r)
+	if over || !cheap && b.tokens < 1 {
 		b.answer(r)
 		return
 	}
--- a/decide/rules.go
+++ b/decide/rules.go
@@ -17,13 +17,22 @@
 	return nil
 }
 
+// runsAgain tells whether a further attempt is lawful at any server at all, as to effects.
+func (b *Balancer) runsAgain(r *request) bool {
+	first := r.first()
+	if first == nil || r.class.Effect == Safe {
+		return true
+	}
+	return r.class.Effect == Keyed && b.now+b.c.ConnectTime < first.sent+r.class.Window
+}
+
 // repeatable tells whether a further attempt at s is lawful as to effects.
 func (b *Balancer) repeatable(r *request, s *server) bool {
 	first := r.first()
 	if first == nil || r.class.Effect == Safe {
 		return true
 	}
-	if r.class.Effect == Unsafe || b.now+b.c.ConnectTime >= first.sent+r.class.Window {
+	if !b.runsAgain(r) {
 		return false
 	}
 	sameZone := r.class.Group != GroupZone || s.Zone == first.at.Zone
