Invariants checked at run time: one guard lets attempts go, each breach counted and logged

Stopped clients, late answers and the exit are checked where they end. The stop line says how many were broken.

The slow-start budget has no guard: a sidecar alone cannot see what the fleet sends.

--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,40 @@
+package invariant
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+// Each rule has a name of its own, a count of its own, and a log line with the request's id and what was known.
+func TestBroken(t *testing.T) {
+	var out bytes.Buffer
+	m := NewMonitor(slog.New(slog.NewTextHandler(&out, nil)))
+	seen := map[string]bool{}
+	for rule := range rules {
+		if name := rule.String(); name == "" || seen[name] {
+			t.Errorf("rule %d is called %q", rule, name)
+		}
+		seen[rule.String()] = true
+		m.Broken(rule, "t1", "late", "5s")
+		if m.Count(rule) != 1 || m.Total() != int64(rule)+1 {
+			t.Errorf("%v: counted %d of %d", rule, m.Count(rule), m.Total())
+		}
+		line, _ := out.ReadString('\n')
+		for _, want := range []string{Event, "rule=" + rule.String(), "id=t1", "late=5s"} {
+			if !strings.Contains(line, want) {
+				t.Errorf("%q lacks %q", line, want)
+			}
+		}
+	}
+}
+
+// A part that was given no monitor checks all the same.
+func TestNone(t *testing.T) {
+	var m *Monitor
+	m.Broken(ExitInTime, "")
+	if m.Total() != 0 {
+		t.Error("a nil monitor counts")
+	}
+}
--- /dev/null
+++ b/internal/program/invariants_test.go
@@ -0,0 +1,71 @@
+package program
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"burlpass/internal/protocol"
+	"burlpass/internal/routing"
+)
+
+// A process that is held up for longer than the rules allow for breaks them, and says so.
+func TestInvariantsOfAHeldProcess(t *testing.T) {
+	t.Parallel()
+	r, w := io.Pipe()
+	t.Cleanup(func() { w.Close() }) // once the process has ended
+	lines := make(chan string, 1000)
+	go func() {
+		for s := bufio.NewScanner(r); s.Scan(); {
+			lines <- s.Text()
+		}
+	}()
+	c, addr := startLogged(t, deafBackend(t), 256, w)
+	for _, sent := range []string{booking()[:80], strings.Replace(booking(), "2500m", "500m", 1)} {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, sent); err != nil {
+			t.Fatal(err)
+		}
+	}
+	untilOpen(t, addr)
+	c.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(owedWithin + 200*time.Millisecond) // the fault itself
+	c.Process.Signal(syscall.SIGCONT)
+	for _, rule := range []string{"stopped_client_ended", "answered_in_time"} {
+		for want, seen := "event=invariant_broken rule="+rule, false; !seen; {
+			select {
+			case line := <-lines:
+				seen = strings.Contains(line, want)
+				if seen && !strings.Contains(line, "id=stopped-") && rule == "answered_in_time" {
+					t.Errorf("no request's id in %s", line)
+				}
+			case <-time.After(giveUp):
+				t.Fatalf("no line with %q", want)
+			}
+		}
+	}
+}
+
+// A request that cannot be ended holds the process up to its bound, and no longer; the log says so.
+func TestInvariantOfTheExit(t *testing.T) {
+	held := make(chan struct{})
+	defer close(held)
+	gate := func(*protocol.Call) routing.Terms {
+		<-held
+		return routing.Terms{}
+	}
+	play(t, scenario{gate: gate, script: `
+		a send GET /availability/x id=t1 expires=2000m
+		sidecar send TERM
+		log expect event=invariant_broken rule=exit_in_time
+		log expect event=stop_forced invariants_broken=1
+		sidecar wait`})
+}
--- a/internal/program/main_test.go
+++ b/internal/program/main_test.go
@@ -34,7 +34,11 @@
 		return err
 	}
 	c.Limits.Apply()
-	sidecar, err := New(transport.System{}, c, logging.Discard())
+	log, err := logging.New(os.Stderr, logging.Options{})
+	if err != nil {
+		return err
+	}
+	sidecar, err := New(transport.System{}, c, log)
 	if err != nil {
 		return err
 	}
--- a/internal/program/overload_test.go
+++ b/internal/program/overload_test.go
@@ -64,8 +64,14 @@
 	}
 }
 
-// start starts this binary as a sidecar with one worker and so many descriptors, and tells where it listens.
+// start starts this binary as a sidecar with one worker and so many descriptors, and tells where it listens. Its log is
+// dropped.
 func start(t testing.TB, worker string, sockets int) (c *exec.Cmd, addr string) {
+	return startLogged(t, worker, sockets, io.Discard)
+}
+
+// startLogged is start with the sidecar's log.
+func startLogged(t testing.TB, worker string, sockets int, log io.Writer) (c *exec.Cmd, addr string) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
 		"known":{"generation":1,"reset":true,"instances":[{"instanceId":"s","hostPort":%q,"zone":"hall-a","machineType":"new",
@@ -75,7 +81,7 @@
 	}
 	c = exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), childEnv+"=1", "EDGE_NAME=n1", "EDGE_LISTEN=127.0.0.1:0", "EDGE_DISCOVERY=127.0.0.1:1", "EDGE_CONFIG="+path)
-	c.Stderr = os.Stderr
+	c.Stderr = log
 	out, err := c.StdoutPipe()
 	if err == nil {
 		err = c.Start()
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"burlpass/internal/enforcement"
+	"burlpass/internal/invariant"
 	"burlpass/internal/limits"
 	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
@@ -161,9 +162,10 @@
 	c := s.config
 	figures := protocol.NewFigures(len(c.Names.Classes))
 	out := s.kept()
+	invariants := invariant.NewMonitor(s.log)
 	router := routing.New(working, routing.Config{
 		Decide: c.Decide, Seed: c.Seed, Names: c.Names, Network: s.network, Registry: c.Registry, Log: s.log, Trace: c.Trace,
-		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns, Figures: figures}, Out: out, Gate: s.gate,
+		Workers: &protocol.Workers{Pool: s.pool, Columns: c.Decide.Columns, Figures: figures}, Out: out, Gate: s.gate, Invariants: invariants,
 	}, c.Known)
 	s.router.Store(router)
 	if out.Len() > 0 {
@@ -180,7 +182,7 @@
 		longest = max(longest, k.Deadline)
 	}
 	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes, Worth: worth, Longest: longest, Advice: advice,
-		Draining: draining, Closing: closing, Held: &s.held, Figures: figures, Origins: s.origins, Log: s.log}
+		Draining: draining, Closing: closing, Held: &s.held, Figures: figures, Origins: s.origins, Log: s.log, Invariants: invariants}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -225,9 +227,10 @@
 	}()
 	select {
 	case <-ended:
-		s.log.Info("stop")
+		s.log.Info("stop", "invariants_broken", invariants.Total())
 	case <-time.After(time.Until(exitBy) + 2*lastAnswers):
-		s.log.Error("stop_forced", "open", router.Open(), "reset", s.listener.ResetBusy())
+		invariants.Broken(invariant.ExitInTime, "", "open", router.Open(), "reset", s.listener.ResetBusy())
+		s.log.Error("stop_forced", "invariants_broken", invariants.Total())
 	}
 }
 
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/acceptor.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"burlpass/internal/invariant"
 	"burlpass/internal/transport"
 )
 
@@ -57,6 +58,8 @@
 	Origins  *Origins        // where calls carry what rules go by; nil where nobody asks
 	Log      *slog.Logger
 
+	Invariants *invariant.Monitor // counts what must never happen; nil: nobody counts
+
 	rejected tally
 	refused  tally
 	traces   traces
@@ -76,6 +79,8 @@
 	started time.Time // of the call's first byte
 	asked   bool      // there has been a call before
 	stage   string    // what of the request at hand is read, for the log
+	due     time.Time // when the client of the request at hand gives up; zero where the request has not come whole
+	settled time.Time // when the request before had its answer
 	closing bool      // no further call on this connection
 	broken  bool      // nothing is owed to the client any more, or it must see that an answer is not whole
 }
@@ -113,6 +118,7 @@
 		}
 		switch {
 		case err != nil:
+			c.checkStopped(err)
 			c.reject(err)
 		case call == nil:
 			c.health()
@@ -272,7 +278,7 @@
 		return nil, &failure{400, "missing or invalid " + headerExpires}
 	}
 	patience := c.patience(expires)
-	call := &Call{Class: class, Budget: patience, Repeat: string(c.head.get(headerRepeat)) == "1",
+	call := &Call{ID: c.head.get(headerTrace), Class: class, Budget: patience, Repeat: string(c.head.get(headerRepeat)) == "1",
 		Message: &request{head: &c.head, body: c.body, upload: c.upload}}
 	if c.Origins != nil {
 		call.Origin = c.Origins.origin(&c.head, path)
@@ -284,24 +290,6 @@
 	return call, nil
 }
 
-// patience is what is left of a client's time, which began with its request's last byte. That may have waited in the kernel
-// and, behind an open request, in this connection's buffer; the end of the process may come before it.
-func (c *client) patience(expires time.Duration) time.Duration {
-	left := max(expires-answerMargin-c.late.standing(), 0)
-	if c.upload == nil {
-		left -= time.Since(c.in.arrived(c.r))
-	}
-	if end := c.End(); !end.IsZero() {
-		left = min(left, time.Until(end)-answerMargin)
-	}
-	return max(left, 0)
-}
-
-// waited tells that a request has waited here for a part of its client's time.
-func (c *client) waited() bool {
-	return c.late.standing() > 0 || c.upload == nil && time.Since(c.in.arrived(c.r)) > answerMargin
-}
-
 // parseExpires reads a number and a unit, m or u.
 func parseExpires(v []byte) (time.Duration, bool) {
 	if len(v) < 2 {
@@ -356,6 +344,7 @@
 	}
 	go p.watch()
 	answer := c.Handler.Serve(call)
+	c.checkAnswered(p)
 	c.Figures.answered(call.Class, answer.Verdict) // before it is out: whoever has it finds it counted
 	if c.upload != nil {
 		c.finishUpload(p, answer)
@@ -363,6 +352,7 @@
 	}
 	c.closing = c.closing || p.hasLeft()
 	c.answer(answer)
+	c.settled = time.Now()
 	p.end()
 	c.broken = c.broken || p.hasLeft()
 	c.closing = c.closing || c.broken // what it has sent ahead is not read as a request
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -11,6 +11,7 @@
 
 // Call is one request of a client, read whole, or up to its window where Upload is set.
 type Call struct {
+	ID      []byte        // the client's, for the log; valid until the call is over
 	Class   int           // position in the settings
 	Tenant  int           // position in the settings, 0 where there are none
 	Budget  time.Duration // until the client gives this try up, less a margin for the way back
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -88,9 +88,9 @@
 	Tag int
 }
 
-// Start sends a message to a worker, which is told the time that is left until end when its first byte goes out. ready is
+// Start sends a message to a worker, which is told the time that is left until end when its first byte goes out. guard is
 // asked once the connection is there; where it says no, nothing goes out.
-func (w *Workers) Start(peer transport.Peer, m Message, end time.Time, ready func() bool, back Return) Delegation {
+func (w *Workers) Start(peer transport.Peer, m Message, end time.Time, guard transport.Guard, back Return) Delegation {
 	reply := &Reply{}
 	var written *atomic.Int64
 	if _, probing := m.(probe); !probing && w.Figures != nil {
@@ -100,7 +100,7 @@
 		Written: written, Tag: back.Tag, Done: back.To,
 		Message: func() net.Buffers { return m.Encode(peer.Addr, time.Until(end)) },
 		Rest:    m.Rest(),
-		Ready:   ready,
+		Guard:   guard,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
 		More:    func() bool { return !reply.rest.over },
 	})}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -23,6 +23,7 @@
 	terms Terms         // what the gate said, once
 	less  time.Duration // that the terms take of the client's time
 	ran   bool          // a delegation has ended that may have run
+	first firstRun      // the earliest of those
 }
 
 // ordersPerTry bounds the orders for one attempt: its send, a cancel, and a second one when the call ends.
@@ -31,7 +32,8 @@
 // order is an action of the module for one request.
 type order struct {
 	decide.Action
-	peer transport.Peer // with Send: the backend's process as it was listed at the choice; zero where it is not listed
+	peer       transport.Peer // with Send: the backend's process as it was listed at the choice; zero where it is not listed
+	zone, cell int            // where that is
 }
 
 // order puts an action into the mailbox. It is called under the router's lock and never waits. The mailbox
@@ -46,13 +48,17 @@
 // delegation is a call's attempt at a worker.
 type delegation struct {
 	protocol.Delegation
-	try     int
-	worker  decide.ServerID
-	begun   time.Time
-	end     time.Time // of the attempt's or the call's time
-	expired bool      // given up for that
-	fresh   bool      // went over a connection opened for it
-	whole   bool      // its answer has been read whole
+	try      int
+	worker   decide.ServerID
+	begun    time.Time
+	end      time.Time // of the attempt's or the call's time
+	router   *Router
+	task     *task
+	order    order
+	deadline time.Time // the end as it was at the beginning, for the goroutine that writes
+	expired  bool      // given up for that
+	fresh    bool      // went over a connection opened for it
+	whole    bool      // its answer has been read whole
 }
 
 // maxTries bounds a mailbox where a deployment allows attempts without end, and the copies that are out together.
@@ -107,7 +113,7 @@
 		select {
 		case a := <-t.orders:
 			switch {
-			case a.Kind == decide.Send && len(out) < copies && final == nil && t.again(len(out)):
+			case a.Kind == decide.Send && len(out) < copies && final == nil && t.again(len(out)) && r.lawful(t, out, a):
 				d := r.delegate(t, a, results)
 				out = append(out, d)
 				if a.Timeout != 0 || !d.begun.Before(d.end) { // else the call's own end, which it is set to
@@ -146,7 +152,10 @@
 			}
 			d.fresh, d.whole = result.Sent && !result.Kept, result.Err == nil
 			status := d.status(result, left == nil)
-			t.ran = t.ran || mayHaveRun(status)
+			if mayHaveRun(status) {
+				t.ran = true
+				t.first.note(d)
+			}
 			switch {
 			case status == decide.OK && final == nil:
 				d.Reply.Rest = result.Rest
@@ -266,21 +275,18 @@
 // delegate sends a call to the worker that the module chose. Its result goes to results, under its number.
 func (r *Router) delegate(t *task, o order, results chan transport.Result) *delegation {
 	now := time.Now()
-	d := &delegation{try: t.tries, worker: o.Server, begun: now, end: t.end}
+	d := &delegation{try: t.tries, worker: o.Server, begun: now, end: t.end, router: r, task: t, order: o}
 	if at := now.Add(o.Timeout); o.Timeout != 0 && at.Before(t.end) {
 		d.end = at
 	}
+	d.deadline = d.end
 	t.tries++
 	back := protocol.Return{To: results, Tag: d.try}
 	if o.peer == (transport.Peer{}) {
 		d.Delegation = protocol.Revoked(transport.ErrRevoked, back)
 		return d
 	}
-	end, long := d.end, t.call.Upload != nil // the end of a long message moves on while it comes
-	ready := func() bool {
-		return (long || time.Now().Before(end)) && r.may(o) && t.present()
-	}
-	d.Delegation = r.Workers.Start(o.peer, t.call.Message, end, ready, back)
+	d.Delegation = r.Workers.Start(o.peer, t.call.Message, d.deadline, d, back)
 	return d
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"burlpass/decide"
+	"burlpass/internal/invariant"
 	"burlpass/internal/maintenance"
 	"burlpass/internal/protocol"
 	"burlpass/internal/transport"
@@ -31,6 +32,8 @@
 	Out      maintenance.Set // workers taken out by hand at the start, as a process before this one left them
 	Gate     Gate            // asked about every call before the module; nil for none
 
+	Invariants *invariant.Monitor // counts what must never happen; nil: nobody counts
+
 	// Trace is shown every event and the actions that it led to, under the lock; nil for none. It must keep neither.
 	Trace func(now time.Duration, e decide.Event, actions []decide.Action, name func(decide.ServerID) string)
 }
@@ -142,7 +145,7 @@
 			if t := r.calls[a.ID]; t != nil {
 				o := order{Action: a}
 				if w := r.workers[a.Server]; w != nil && a.Kind == decide.Send {
-					o.peer = w.peer
+					o.peer, o.zone, o.cell = w.peer, w.listed.Zone, w.listed.Cell
 				}
 				t.order(o)
 			}
@@ -228,7 +231,7 @@
 	e := decide.Event{Kind: decide.Probed, Server: id, Status: decide.ConnectFailed}
 	begun := time.Now()
 	if w := r.worker(id); w != nil {
-		d := r.Workers.Start(w.peer, protocol.Probe(), begun.Add(probeTime), func() bool { return r.still(w) }, protocol.Return{})
+		d := r.Workers.Start(w.peer, protocol.Probe(), begun.Add(probeTime), probeGuard{r, w}, protocol.Return{})
 		late := time.AfterFunc(probeTime, d.Abort)
 		result := <-d.Done
 		onTime := late.Stop()
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -96,10 +96,11 @@
 // write sends the message. Only the goroutine that made the attempt's connection its own calls it.
 func (a *Attempt) write(c *conn) {
 	defer close(a.wrote)
-	if a.x.Ready != nil && !a.x.Ready() {
+	if a.x.Guard != nil && !a.x.Guard.Ready() {
 		a.fail(c, false, ErrRevoked)
 		return
 	}
+	asked := time.Now()
 	message, ok := a.begin(c)
 	if !ok { // settled meanwhile: nothing may go out any more
 		c.Close()
@@ -107,12 +108,15 @@
 	}
 	switch {
 	case a.x.Rest != nil:
+		a.began(asked)
 		ok = a.stream(c, message)
 	case size(message) > wholeWrite:
+		a.began(asked)
 		first, last := keepLast(message)
 		ok = a.send(c, first, false) && a.send(c, net.Buffers{last}, true)
 	default:
 		ok = a.send(c, message, true)
+		a.began(asked)
 	}
 	if !ok {
 		return
@@ -127,6 +131,14 @@
 	}
 }
 
+// began tells the guard of a late first byte. Of a message that may wait for its worker it is called right before the write,
+// of a short one right after.
+func (a *Attempt) began(asked time.Time) {
+	if after := time.Since(asked); after >= LateStart && a.x.Guard != nil {
+		a.x.Guard.Began(after)
+	}
+}
+
 // fail ends an attempt whose message has not gone out as it should. The connection is closed before the result is out,
 // so that an attempt which follows that result finds it closed.
 func (a *Attempt) fail(c *conn, isSent bool, err error) {
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -17,11 +17,23 @@
 	ErrSource  = errors.New("its message broke off")
 )
 
+// Guard lets an exchange's message go out, and hears how long that took.
+type Guard interface {
+	// Ready is asked once the connection is there, right before the first byte. False: nothing may go out any more.
+	Ready() bool
+	// Began is told, where the first byte went out late, by how much after Ready. It may be called on any goroutine.
+	Began(after time.Duration)
+}
+
+// LateStart is the time between Ready and the first byte from which a Guard hears of it: as long as a client's leaving may
+// go unseen.
+const LateStart = 100 * time.Millisecond
+
 // Exchange is one message to a worker and the reading of its answer. It is protocol-neutral.
 type Exchange struct {
 	Message func() net.Buffers                            // makes the message, at most once, right before its first byte goes out
 	Rest    func(write Write) error                       // writes what follows Message; nil where that is whole
-	Ready   func() bool                                   // asked once the connection is there; false: nothing may go out any more
+	Guard   Guard                                         // asked once the connection is there; nil: nobody is asked
 	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one answer, whole or up to where More says
 	More    func() bool                                   // tells, after Read, that the answer goes on; nil for never
 	Written *atomic.Int64                                 // counts the exchange once its last byte has gone out; nil for none
--- a/internal/transport/moment_test.go
+++ b/internal/transport/moment_test.go
@@ -158,7 +158,7 @@
 			io.ReadFull(c, make([]byte, 2))
 			io.WriteString(c, "ok\nok\n")
 		}, true, nil},
-		"no longer wanted":  {func(x *Exchange) { x.Ready = func() bool { return false } }, func(net.Conn) {}, false, ErrRevoked},
+		"no longer wanted":  {func(x *Exchange) { x.Guard = answers(false) }, func(net.Conn) {}, false, ErrRevoked},
 		"source breaks off": {func(x *Exchange) { x.Rest = func(Write) error { return nil } }, func(net.Conn) {}, false, ErrSource},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -43,7 +43,7 @@
 
 func message(ready bool) Exchange {
 	text := func() net.Buffers { return net.Buffers{[]byte("a"), []byte("\n")} }
-	return Exchange{Message: text, Ready: func() bool { return ready }, Read: line}
+	return Exchange{Message: text, Guard: answers(ready), Read: line}
 }
 
 func check(t *testing.T, a *Attempt, sent bool, want error) {
@@ -179,3 +179,42 @@
 	reply(<-conns)
 	check(t, a, true, nil)
 }
+
+// answers is a guard that always says the same.
+type answers bool
+
+func (a answers) Ready() bool       { return bool(a) }
+func (answers) Began(time.Duration) {}
+
+// listening is a guard that says yes and keeps how late the first byte was.
+type listening chan time.Duration
+
+func (listening) Ready() bool             { return true }
+func (l listening) Began(d time.Duration) { l <- d }
+
+// A guard hears of a first byte that went out long after it said yes, and of no other.
+func TestGuardHearsOfALateStart(t *testing.T) {
+	peer, conns := server(t)
+	p := NewPool(System{}, NewBudget(1), time.Minute, time.Minute)
+	heard := make(listening, 2)
+	var c net.Conn
+	for _, held := range []time.Duration{0, LateStart} {
+		x := message(true)
+		x.Guard = heard
+		text := x.Message
+		x.Message = func() net.Buffers {
+			time.Sleep(held) // the fault itself
+			return text()
+		}
+		a := p.Start(peer, x)
+		if c == nil {
+			c = get(t, conns)
+		}
+		reply(c)
+		check(t, a, true, nil)
+	}
+	if d := <-heard; d < LateStart || len(heard) > 0 {
+		t.Errorf("heard of %v, and %d more", d, len(heard))
+	}
+	p.CloseIdle(peer)
+}
