A soak of random faults on real processes: stopped clients and held processes are new

New in the laboratory: clients that stop after a drawn byte (rule stop), processes held up by SIGSTOP, and discovery's clock beside the sidecars' (registry.clock). The sidecar that waits for who stops is found as such, held ones that do nothing wrong pass.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: check build test lint run demo sim mutants fuzz faults virtual hard cluster-mutants cluster-demo measure-cluster sites clean
+.PHONY: check build test lint run demo sim soak mutants fuzz faults virtual hard cluster-mutants cluster-demo measure-cluster sites clean
 
 # What CI runs.
 check: lint build test
@@ -39,6 +39,10 @@
 sim: build
 	bin/burlpass sim run --count $(SEEDS) --keep-on
 
+# Days of random faults against 24 real sidecars, 30 s each (20 of them unless SEEDS is given), PARALLEL at once.
+soak: build
+	bin/burlpass lab soak --seeds $(if $(filter file,$(origin SEEDS)),20,$(SEEDS)) --from $(FROM) --parallel $(PARALLEL)
+
 # Known faults put into the program, and after how many simulated days each is found: some minutes.
 mutants: build
 	bin/burlpass sim mutants
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,168 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"burlpass/internal/lab/report"
+	"burlpass/internal/lab/scenario"
+	"burlpass/internal/lab/soak"
+)
+
+// soakRun is one call of lab soak.
+type soakRun struct {
+	app    *app
+	build  build
+	folder string // of the days that failed
+
+	mu             sync.Mutex
+	passed, failed int
+	void           []uint64
+	coverage       *soak.Coverage
+}
+
+func (a *app) labSoak() *cobra.Command {
+	var from uint64
+	var count, parallel int
+	var program, folder string
+	var shrink bool
+	c := &cobra.Command{
+		Use:   "soak",
+		Short: "Play days of random, overlapping faults against a few dozen sidecars",
+		Long: `Plays one day for each seed: 24 sidecars, 12 backends, clients and discovery on loopback, and faults drawn from
+the seed. A day fails where the judge finds a rule broken or a sidecar's log says that an invariant was. The logs of a day
+that failed are kept. A day on which the laboratory itself ran late is void and counts as failed. The last line is
+"N passed, M failed".`,
+		Example: `  burlpass lab soak --seeds 20 --parallel 3
+  burlpass lab soak --from 17 --seeds 1 --shrink`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			b, err := parseBuild(program)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := interruptible()
+			defer cancel()
+			r := &soakRun{app: a, build: b, folder: folder, coverage: soak.NewCoverage()}
+			return wrong(r.all(ctx, from, count, parallel, shrink))
+		},
+	}
+	f := c.Flags()
+	f.Uint64Var(&from, "from", 1, "the first seed")
+	f.IntVar(&count, "seeds", 10, "number of seeds")
+	f.IntVar(&parallel, "parallel", 2, "days at a time")
+	f.StringVar(&program, "build", "self", "sidecar to play: self, or a program with its arguments")
+	f.StringVar(&folder, "keep", filepath.Join(os.TempDir(), "burlpass-soak"), "folder for the logs of days that failed")
+	f.BoolVar(&shrink, "shrink", false, "take faults out of a day that failed for as long as it still does")
+	return c
+}
+
+// all plays the days, some at a time, and prints the last line.
+func (r *soakRun) all(ctx context.Context, from uint64, count, parallel int, shrink bool) error {
+	seeds := make(chan uint64)
+	var players sync.WaitGroup
+	for range max(parallel, 1) {
+		players.Go(func() {
+			for seed := range seeds {
+				r.one(ctx, seed, shrink)
+			}
+		})
+	}
+	for seed := from; seed < from+uint64(count) && ctx.Err() == nil; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	players.Wait()
+	r.printCoverage()
+	if len(r.void) > 0 {
+		slices.Sort(r.void)
+		fmt.Fprintf(r.app.stdout, "void, for the laboratory ran late: %v\n", r.void)
+	}
+	fmt.Fprintf(r.app.stdout, "%d passed, %d failed\n", r.passed, r.failed)
+	if r.failed > 0 {
+		return fmt.Errorf("%d days failed", r.failed)
+	}
+	return ctx.Err()
+}
+
+// one plays a seed's day and counts it.
+func (r *soakRun) one(ctx context.Context, seed uint64, shrink bool) {
+	s := soak.Draw(seed)
+	day, findings := r.play(ctx, s, seed)
+	if ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coverage.Add(s)
+	if day != nil && day.Result.Lateness.Void != "" {
+		r.void = append(r.void, seed)
+	}
+	if len(findings) == 0 {
+		r.passed++
+		fmt.Fprintf(r.app.stdout, "seed %d passed\n", seed)
+		return
+	}
+	r.failed++
+	fmt.Fprintf(r.app.stdout, "seed %d FAILED\n", seed)
+	if shrink {
+		s = soak.Shrink(s, func(smaller *scenario.Scenario) bool {
+			_, found := r.play(ctx, smaller, seed)
+			return len(found) > 0
+		})
+	}
+	for _, f := range s.Faults {
+		fmt.Fprintf(r.app.stdout, "  with %s\n", soak.Fault(f))
+	}
+	for _, finding := range findings[:min(len(findings), mostFindings)] {
+		fmt.Fprintf(r.app.stdout, "  %s\n", finding)
+	}
+}
+
+// mostFindings bounds the lines printed of one day.
+const mostFindings = 12
+
+// play plays a day and returns what it broke. The logs stay where it broke anything.
+func (r *soakRun) play(ctx context.Context, s *scenario.Scenario, seed uint64) (*report.Day, []string) {
+	folder := filepath.Join(r.folder, s.Name)
+	if err := os.RemoveAll(folder); err != nil {
+		return nil, []string{err.Error()}
+	}
+	day, err := r.app.play(ctx, s, seed, r.build, nil, folder, true)
+	if err != nil {
+		return nil, []string{err.Error()}
+	}
+	findings, err := soak.Broken(folder)
+	if err != nil {
+		findings = append(findings, err.Error())
+	}
+	for _, v := range day.Result.Report.Violations {
+		findings = append(findings, v.String())
+	}
+	if verdict := day.Verdict(); verdict != nil {
+		findings = append(findings, verdict.Error())
+	}
+	if len(findings) == 0 {
+		os.RemoveAll(folder)
+	}
+	return day, findings
+}
+
+// printCoverage prints how often each kind of fault was played, and how many pairs of kinds overlapped.
+func (r *soakRun) printCoverage() {
+	var kinds []string
+	for kind := range r.coverage.Kinds {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	for _, kind := range kinds {
+		fmt.Fprintf(r.app.stdout, "%-14s %d\n", kind, r.coverage.Kinds[kind])
+	}
+	fmt.Fprintf(r.app.stdout, "%d pairs of kinds overlapped\n", len(r.coverage.Pairs))
+}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -42,6 +42,7 @@
 	Resumed               // Sidecar: the first answer to a call for the list after Hushed or Denied is out
 	Reloaded              // Sidecar gets SIGHUP with its registry moved
 	Pushed                // Worker, Sidecar, Started, Work: work has come to a process, whatever becomes of it
+	Stopped               // Sidecar, Took, Text: a client stopped within a request, and got its first byte or the end after Took; Text is where
 	Reached               // On: whether the registry can be reached; it can at first
 )
 
@@ -65,7 +66,8 @@
 	RetryAfter time.Duration
 	Started    time.Duration
 	Work       time.Duration // on a standard core
-	Body       uint64        // a hash
+	Took       time.Duration
+	Body       uint64 // a hash
 	Memory     int64
 	Sockets    int
 	From       map[int]float64
@@ -81,10 +83,14 @@
 	Effect   Rule = "effect"   // no repeated effect, no second copy, lawful refusals
 	Drain    Rule = "drain"    // nothing new to a worker told to drain
 	Cold     Rule = "cold"     // no cold worker pushed over
+	Stop     Rule = "stop"     // a client that stops within a request gets an error or a close in time
 	Crash    Rule = "crash"    // the process ended, or went over its limits
 	Verbatim Rule = "verbatim" // what a call carries passes byte for byte
 )
 
+// stopOwed is what a client that stops within a request is owed: an error or a close, counted from its last byte.
+const stopOwed = 3 * time.Second
+
 // Violation is one breach of a rule.
 type Violation struct {
 	At      time.Duration `json:"at"`
@@ -263,6 +269,10 @@
 			a.closed, a.shut = true, e.At
 			j.belief.closed(a, e.At)
 		}
+	case Stopped:
+		if e.Took > stopOwed+slack {
+			j.broke(Stop, e.Sidecar, "a client that stopped %s was ended after %v", e.Text, e.Took)
+		}
 	case Probed:
 		j.tally.probes++
 	case Told:
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -101,6 +101,7 @@
 	Silent   time.Duration `toml:"silent_notice" default:"6s" range:"0s..5m" doc:"the same for a machine that falls silent"`
 	Capacity float64       `toml:"capacity" default:"50" range:"0.1..100000" doc:"calls a second that it handles, in turn"`
 	Timeout  time.Duration `toml:"timeout" default:"1s" range:"1ms..1m" doc:"a call that waits longer fails"`
+	Clock    time.Duration `toml:"clock" default:"0s" range:"-24h..24h" doc:"by how much the sidecars' wall clocks are ahead of the registry's"`
 }
 
 // Conn is what connections to workers cost.
@@ -151,14 +152,14 @@
 
 // Fault is one thing that goes wrong. What a kind needs of the fields is in docs/laboratory.md.
 type Fault struct {
-	Kind   string        `toml:"kind" required:"true" oneof:"hang silence cut reset hall_loss shrink registry_lag registry_down slow spoil overlong surplus probe_lie rude replace kill term reload watch_silent list_late" doc:"what goes wrong"`
+	Kind   string        `toml:"kind" required:"true" oneof:"hang silence cut reset hall_loss shrink registry_lag registry_down slow spoil overlong surplus probe_lie rude replace kill term reload watch_silent list_late stop_clients hold" doc:"what goes wrong"`
 	At     time.Duration `toml:"at" required:"true" range:"0s..1h" doc:"when it begins"`
 	Length time.Duration `toml:"length" default:"0s" range:"0s..1h" doc:"how long it lasts; the moments replace, kill, term, reload and watch_silent have none"`
 	Hall   string        `toml:"hall" doc:"the hall that it meets; all where empty"`
 	Part   float64       `toml:"part" default:"0" range:"0..1" doc:"share of the workers there (or of the sidecars) that it meets, at least one"`
-	Count  int           `toml:"count" default:"0" range:"0..10000" doc:"number of workers or sidecars, in place of part; rude: connections"`
+	Count  int           `toml:"count" default:"0" range:"0..10000" doc:"number of workers or sidecars, in place of part; rude, stop_clients: connections at each sidecar"`
 	Size   float64       `toml:"size" default:"0" range:"0..1000" doc:"slow: speed left over; shrink: share left over; cut, reset, spoil, overlong, surplus: share of answers; term: calls a second that come on kept connections up to SIGKILL"`
-	Extra  time.Duration `toml:"extra" default:"0s" range:"0s..10m" doc:"registry_lag: added delay; shrink: time to drain; replace and kill: time until the next start; list_late: how long an answer is held back"`
+	Extra  time.Duration `toml:"extra" default:"0s" range:"0s..10m" doc:"registry_lag: added delay; shrink: time to drain; replace and kill: time until the next start; list_late: how long an answer is held back; hold: for how long a process is held up each time"`
 	With   bool          `toml:"with_sidecars" default:"false" doc:"hall_loss: its sidecars are killed too"`
 	Silent bool          `toml:"silent" default:"false" doc:"hall_loss: machines fall silent in place of dying; list_late: what is asked meanwhile, or waits, is never answered"`
 }
@@ -299,6 +300,10 @@
 		if x.Extra <= 0 {
 			f.Fail(at+".extra", "the added delay is missing")
 		}
+	case "hold":
+		if x.Extra <= 0 {
+			f.Fail(at+".extra", "how long a process is held up is missing")
+		}
 	case "list_late":
 		if !s.Registry.Pushed {
 			f.Fail(at+".kind", "a list_late is for lists that are pushed")
--- a/internal/lab/stage/faults.go
+++ b/internal/lab/stage/faults.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,29 +12,43 @@
 func (s *stage) script(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	rude := map[int]context.CancelFunc{}
+	lasting := map[int]context.CancelFunc{}
 	for _, step := range s.plan.Steps {
 		if !s.sleepUntil(step.At) {
 			break
 		}
-		if s.plan.Faults[step.Fault].Kind == "rude" {
+		if play := s.lasting(step); play != nil {
 			if step.Begin {
 				c, cancel := context.WithCancel(ctx)
-				rude[step.Fault] = cancel
-				running.Go(func() { s.rude(c, s.plan.Faults[step.Fault].Count) })
+				lasting[step.Fault] = cancel
+				running.Go(func() { play(c) })
 			} else {
-				rude[step.Fault]()
+				lasting[step.Fault]()
 			}
 			continue
 		}
 		running.Go(func() { s.step(step) })
 		time.Sleep(time.Millisecond) // steps of one moment begin in their order
 	}
-	for _, cancel := range rude {
+	for _, cancel := range lasting {
 		cancel()
 	}
 }
 
+// lasting is what plays a fault from its beginning to its end by itself, nil for the kinds that step begins and ends.
+func (s *stage) lasting(step world.Step) func(context.Context) {
+	f := &s.plan.Faults[step.Fault]
+	switch f.Kind {
+	case "rude":
+		return func(ctx context.Context) { s.rude(ctx, f.Count) }
+	case "stop_clients":
+		return func(ctx context.Context) { s.stopClients(ctx, f.Count) }
+	case "hold":
+		return func(ctx context.Context) { s.holdProcesses(ctx, step.Sidecars, f.Extra) }
+	}
+	return nil
+}
+
 func (s *stage) step(step world.Step) {
 	f := &s.plan.Faults[step.Fault]
 	extra := f.Restart()
@@ -259,43 +270,6 @@
 	}
 }
 
-// rude plays clients that do not know how to behave, n at a time at each sidecar.
-func (s *stage) rude(ctx context.Context, n int) {
-	if n == 0 {
-		n = 20
-	}
-	ways := []string{
-		"",                                     // says nothing
-		"GET /availability/x HTTP/1.1\r\nX-Tr", // half a head
-		"POST /booking/x HTTP/1.1\r\nX-Trace-Id: rude\r\nX-Expires-In: 900m\r\nContent-Length: 5000\r\n\r\nhalf a body",
-		"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", // TLS
-		"GET /availability/x HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-		"GET /_health HTTP/1.1\r\n\r\n", // asks once and stays
-		"GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 20_000) + "\r\n\r\n",
-		strings.Repeat("GET /_health HTTP/1.1\r\n\r\n", 2000), // never reads
-	}
-	var all sync.WaitGroup
-	for sidecar := range s.plan.Sidecar {
-		for range n {
-			all.Go(func() {
-				for ctx.Err() == nil && !s.ended() {
-					c, err := s.sockets.Dial(s.net.sidecar(sidecar), 500*time.Millisecond)
-					if err == nil {
-						c.SetDeadline(time.Now().Add(time.Duration(1+rand.IntN(4000)) * time.Millisecond))
-						fmt.Fprint(c, ways[rand.IntN(len(ways))])
-						c.Read(make([]byte, 1))
-						c.Close()
-					}
-					if !s.sleepUntil(s.now() + time.Duration(20+rand.IntN(80))*time.Millisecond) {
-						return
-					}
-				}
-			})
-		}
-	}
-	all.Wait()
-}
-
 // sample looks whether the model has fallen over or stalled since.
 func (h *host) sample() {
 	h.mu.Lock()
--- a/internal/lab/stage/registry.go
+++ b/internal/lab/stage/registry.go
@@ -169,7 +169,7 @@
 		i := instanceJSON{ID: "s-" + spec.Name, Addr: r.net.worker(sidecar, r.slots[e.Worker]), Zone: r.plan.Halls[spec.Hall],
 			Kind: r.plan.Kinds[spec.Kind].Name, Cell: spec.Cell, Lifecycle: e.State.String(), Weight: float64(r.plan.Kinds[spec.Kind].Cores)}
 		if e.Started >= 0 {
-			i.StartedMs = r.hosts[e.Worker].stamp.Load()
+			i.StartedMs = r.hosts[e.Worker].stamp.Load() - r.plan.Registry.Clock.Milliseconds()
 		}
 		out.Instances = append(out.Instances, i)
 	}
--- a/internal/lab/world/plan.go
+++ b/internal/lab/world/plan.go
@@ -251,7 +251,7 @@
 		begin := Step{At: f.At, Begin: true, Fault: i}
 		hall := slices.Index(p.Halls, f.Hall)
 		switch f.Kind {
-		case "kill", "term", "reload", "watch_silent", "list_late":
+		case "kill", "term", "reload", "watch_silent", "list_late", "hold":
 			begin.Sidecars = choose(rnd, &f, len(p.Sidecar), func(n int) bool { return hall < 0 || p.Sidecar[n].Hall == hall })
 		case "hall_loss":
 			begin.Workers = choose(rnd, &scenario.Fault{Part: 1}, p.AtStart, func(n int) bool { return p.Fleet[n].Hall == hall })
@@ -263,7 +263,7 @@
 			if f.Size < 1 {
 				begin.Workers = choose(rnd, &part, p.AtStart, func(n int) bool { return hall < 0 || p.Fleet[n].Hall == hall })
 			}
-		case "registry_lag", "registry_down", "rude":
+		case "registry_lag", "registry_down", "rude", "stop_clients":
 		default:
 			begin.Workers = choose(rnd, &f, p.AtStart, func(n int) bool { return hall < 0 || p.Fleet[n].Hall == hall })
 		}
