Reading a configuration takes time in proportion to its length, not to its square

Cause: config.position counted lines from the file's start for every key, and go-toml's Shape does the same. An index of the lines' beginnings is made once.

--- a/internal/config/json.go
+++ b/internal/config/json.go
@@ -22,55 +22,57 @@
 			at, fault.Key = e.Offset, e.Field
 		}
 		if at >= 0 {
-			p := position(text, at-1)
+			p := newLines(text).position(at - 1)
 			fault.Line, fault.Column = p.Line, p.Column
 		}
 		f.faults = append(f.faults, fault)
 		return f
 	}
-	d := json.NewDecoder(bytes.NewReader(text))
-	f.walk(d, text, "")
+	w := walker{file: f, decoder: json.NewDecoder(bytes.NewReader(text)), text: text, lines: newLines(text)}
+	w.walk("")
 	return f
 }
 
+// walker notes where the keys of a JSON text stand.
+type walker struct {
+	file    *File
+	decoder *json.Decoder
+	text    []byte
+	lines   lines
+}
+
 // walk notes the place of every key of the next value.
-func (f *File) walk(d *json.Decoder, text []byte, path string) error {
-	token, err := d.Token()
+func (w *walker) walk(path string) error {
+	token, err := w.decoder.Token()
 	if err != nil {
 		return err
 	}
 	switch token {
 	case json.Delim('{'):
-		for d.More() {
-			if token, err = d.Token(); err != nil {
+		for w.decoder.More() {
+			if token, err = w.decoder.Token(); err != nil {
 				return err
 			}
 			key := join(path, fmt.Sprint(token))
-			end := d.InputOffset()
-			f.places[key] = position(text, int64(bytes.LastIndexByte(text[:max(end-1, 0)], '"')))
-			if err := f.walk(d, text, key); err != nil {
+			end := w.decoder.InputOffset()
+			w.file.places[key] = w.lines.position(int64(bytes.LastIndexByte(w.text[:max(end-1, 0)], '"')))
+			if err := w.walk(key); err != nil {
 				return err
 			}
 		}
 	case json.Delim('['):
-		for i := 0; d.More(); i++ {
+		for i := 0; w.decoder.More(); i++ {
 			item := fmt.Sprintf("%s[%d]", path, i)
-			f.places[item] = f.places[path]
-			if err := f.walk(d, text, item); err != nil {
+			w.file.places[item] = w.file.places[path]
+			if err := w.walk(item); err != nil {
 				return err
 			}
 		}
 	default:
 		return nil
 	}
-	if _, err = d.Token(); err == io.EOF {
+	if _, err = w.decoder.Token(); err == io.EOF {
 		return nil
 	}
 	return err
 }
-
-func position(text []byte, at int64) Position {
-	at = max(0, min(at, int64(len(text))))
-	line := bytes.Count(text[:at], []byte("\n"))
-	return Position{line + 1, int(at) - bytes.LastIndexByte(text[:at], '\n')}
-}
--- a/internal/config/places.go
+++ b/internal/config/places.go
@@ -12,7 +12,7 @@
 
 // index notes where each key stands.
 func (f *File) index(text []byte) {
-	p := &unstable.Parser{}
+	p := &parser{lines: newLines(text)}
 	p.Reset(text)
 	prefix, counts := "", map[string]int{}
 	for p.NextExpression() {
@@ -36,7 +36,7 @@
 
 // note records the place of each part of a dotted key and returns the whole path, and where its last part stands.
 // A part that is an array of tables stands for its last item.
-func (f *File) note(p *unstable.Parser, prefix string, key unstable.Iterator, counts map[string]int) (path string, at Position) {
+func (f *File) note(p *parser, prefix string, key unstable.Iterator, counts map[string]int) (path string, at Position) {
 	path = prefix
 	for key.Next() {
 		n := key.Node()
@@ -55,12 +55,17 @@
 	return path, at
 }
 
-func place(p *unstable.Parser, n *unstable.Node) Position {
-	start := p.Shape(n.Raw).Start
-	return Position{start.Line, start.Column}
+// parser is the TOML parser with an index of the text's lines.
+type parser struct {
+	unstable.Parser
+	lines lines
 }
 
-func (f *File) value(p *unstable.Parser, path string, n *unstable.Node) {
+func place(p *parser, n *unstable.Node) Position {
+	return p.lines.position(int64(n.Raw.Offset))
+}
+
+func (f *File) value(p *parser, path string, n *unstable.Node) {
 	switch n.Kind {
 	case unstable.InlineTable:
 		for it := n.Children(); it.Next(); {
