An operators' order that cannot be kept for the next process is refused and taken back

Cause: keep logged a failed write and said yes all the same, while a yes is owed over an upgrade. Class: a debt acknowledged with nothing to back it. Now the change, its write and, where that fails, its taking back are one step under one lock; the operator hears NAK, and the folder's return is enough for the next order. Beside a cluster the record keeps orders, so its orders hold whatever the file does, as before.

The test takes the folder away under a running sidecar and gives it back; without the change the first NAK was ACK.

--- a/internal/program/cluster.go
+++ b/internal/program/cluster.go
@@ -31,8 +31,7 @@
 	}
 	o.orders = orders.New(orders.Config{Member: s.member, By: s.config.Cluster.Member + "/door", Start: start, Log: s.log,
 		Apply: func(set maintenance.Set) {
-			o.router.Maintain(set)
-			o.keep(nil)
+			o.follow(set)
 			s.log.Info("maintenance", "out", set.IDs(), "halls", set.Halls())
 		},
 		Load: func() ([]byte, error) { return os.ReadFile(s.ordersPath()) },
--- /dev/null
+++ b/internal/program/folder_test.go
@@ -0,0 +1,30 @@
+package program
+
+import "testing"
+
+// What cannot be kept for the next process is refused and changes nothing; once the folder takes writes again, so do the
+// orders. What was acknowledged before is still owed.
+func TestFolderThatRefusesWrites(t *testing.T) {
+	play(t, scenario{script: `
+		operator send DISABLE s-1
+		operator expect ACK disabled s-1
+		folder send lost
+		operator send DISABLE s-0
+		operator expect NAK it could not be kept for the next process
+		log expect event=maintenance_not_kept
+		operator send ENABLE s-1
+		operator expect NAK it could not be kept for the next process
+		operator send DISABLE-HALL hall-a
+		operator expect NAK it could not be kept for the next process
+		a send GET /availability/x id=t1 expires=2000m
+		w1 expect GET /availability/x id=t1 at=0
+		w1 send 200 ok
+		a expect 200 ok
+		folder send back
+		state expect {"kind":"burlpass maintenance 1","out":["s-1"]}
+		operator send ENABLE s-1
+		operator expect ACK enabled s-1
+		operator send DISABLE s-0
+		operator expect ACK disabled s-0
+		state expect {"kind":"burlpass maintenance 1","out":["s-0"]}`})
+}
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -44,34 +44,59 @@
 	if o.orders != nil {
 		return o.order(c)
 	}
-	r := o.router
-	switch c.Verb {
-	case operator.Disable:
-		return "", o.keep(r.Disable(c.ID))
-	case operator.Enable:
-		return "", o.keep(r.Enable(c.ID))
-	case operator.DisableHall:
-		return "", o.keep(r.DisableHall(c.ID))
-	}
-	return "", o.keep(r.EnableHall(c.ID))
+	return "", o.keep(func() error {
+		r := o.router
+		switch c.Verb {
+		case operator.Disable:
+			return r.Disable(c.ID)
+		case operator.Enable:
+			return r.Enable(c.ID)
+		case operator.DisableHall:
+			return r.DisableHall(c.ID)
+		}
+		return r.EnableHall(c.ID)
+	})
 }
 
-// keep writes what is taken out by hand where the next process will find it.
-func (o *operations) keep(err error) error {
-	if err != nil {
+// errNotKept is the reason to refuse an order that could not be written where the next process will find it.
+var errNotKept = errors.New("it could not be kept for the next process")
+
+// keep carries out a change of what is taken out by hand, and writes it where the next process will find it. A change that
+// cannot be written is taken back and refused: a yes is owed over an upgrade.
+func (o *operations) keep(change func() error) error {
+	o.keeping.Lock()
+	defer o.keeping.Unlock()
+	before := o.router.Maintenance()
+	if err := change(); err != nil {
 		return err
 	}
+	if !o.save() {
+		o.router.Maintain(before)
+		return errNotKept
+	}
+	return nil
+}
+
+// save writes what is taken out by hand. It tells whether that is kept, and logs why it is not. The caller holds keeping.
+func (o *operations) save() bool {
 	path := o.s.maintenancePath()
 	if path == "" {
-		return nil
+		return true
 	}
-	o.keeping.Lock()
-	defer o.keeping.Unlock()
 	set := o.router.Maintenance()
 	if err := replaceFile(path, set.Encode()); err != nil {
 		o.s.log.Error("maintenance_not_kept", "path", path, "err", err)
+		return false
 	}
-	return nil
+	return true
+}
+
+// follow makes what a cluster orders hold here. The record keeps it; the file is for a process that starts without one.
+func (o *operations) follow(set maintenance.Set) {
+	o.keeping.Lock()
+	defer o.keeping.Unlock()
+	o.router.Maintain(set)
+	o.save()
 }
 
 // replaceFile puts a whole new file in place of another: a reader sees the old or the new, never a part.
--- a/internal/program/stage_test.go
+++ b/internal/program/stage_test.go
@@ -205,6 +205,11 @@
 	case "sidecar":
 		st.signals <- map[string]os.Signal{"TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}[what]
 		return nil
+	case "folder": // what outlives the process: no write to it succeeds while it is lost
+		if what == "lost" {
+			return os.Rename(st.state, st.state+".lost")
+		}
+		return os.Rename(st.state+".lost", st.state)
 	case "operator": // one line at the door, and its whole answer
 		conn, err := net.Dial("tcp", st.door)
 		if err != nil {
