A long message on a kept connection is written beside its request, as on a new one

Not seen on the system's sockets, whose buffers take 64 KiB here; other socket layers may take less. Messages over 8 KiB are now written on a goroutine of their own, which a call-off ends by closing the connection. The test's sockets get stuck, and Start hangs without the change.

--- /dev/null
+++ b/internal/program/deaf_test.go
@@ -0,0 +1,62 @@
+package program
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A backend that takes no more of a message than its socket does holds up neither the answer to the client nor the look for
+// the client's leaving: not on a new connection, and not on a kept one.
+func TestBackendTakesNoMore(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			conn.(*net.TCPConn).SetReadBuffer(2 << 10)
+			go func() { // one answer, then nothing is read any more
+				if r, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err == nil && r.ContentLength < 100 {
+					io.Copy(io.Discard, r.Body)
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	_, addr := start(t, ln.Addr().String(), 256)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(giveUp))
+	r := bufio.NewReader(conn)
+	io.WriteString(conn, booking())
+	if err := skipAnswer(r); err != nil {
+		t.Fatal(err)
+	}
+	long := strings.Replace(strings.Replace(booking(), "Content-Length: 20", "Content-Length: 65536", 1), "2500m", "500m", 1)
+	long = strings.TrimSuffix(long, "01234567890123456789") + strings.Repeat("x", 65536)
+	if _, err := io.WriteString(conn, long); err != nil {
+		t.Fatal(err)
+	}
+	sent := time.Now()
+	if err := skipAnswer(r); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(sent); took > 1500*time.Millisecond { // its time is 0.5 s
+		t.Errorf("the answer came after %v", took)
+	}
+}
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -92,6 +92,7 @@
 // asked once the connection is there; where it says no, nothing goes out.
 func (w *Workers) Start(peer transport.Peer, m Message, end time.Time, guard transport.Guard, back Return) Delegation {
 	reply := &Reply{}
+	q, _ := m.(*request)
 	var written *atomic.Int64
 	if _, probing := m.(probe); !probing && w.Figures != nil {
 		written = &w.Figures.Written
@@ -100,6 +101,7 @@
 		Written: written, Tag: back.Tag, Done: back.To,
 		Message: func() net.Buffers { return m.Encode(peer.Addr, time.Until(end)) },
 		Rest:    m.Rest(),
+		Long:    q != nil && len(q.body)+len(q.head.raw) > transport.WholeWrite,
 		Guard:   guard,
 		Read:    func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
 		More:    func() bool { return !reply.rest.over },
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -45,7 +45,7 @@
 	}
 	message = a.x.Message()
 	a.stage, a.conn = writing, c
-	a.more = a.x.Rest != nil || size(message) > wholeWrite
+	a.more = a.x.Rest != nil || size(message) > WholeWrite
 	return message, true
 }
 
@@ -89,9 +89,9 @@
 	a.settleLocked(a.begun(), ErrAborted)
 }
 
-// wholeWrite is the length up to which a message goes out in one piece. Of a longer one the last byte is kept
+// WholeWrite is the length up to which a message goes out in one piece. Of a longer one the last byte is kept
 // back until it is certain that no answer has begun.
-const wholeWrite = 8 << 10
+const WholeWrite = 8 << 10
 
 // write sends the message. Only the goroutine that made the attempt's connection its own calls it.
 func (a *Attempt) write(c *conn) {
@@ -110,7 +110,7 @@
 	case a.x.Rest != nil:
 		a.began(asked)
 		ok = a.stream(c, message)
-	case size(message) > wholeWrite:
+	case size(message) > WholeWrite:
 		a.began(asked)
 		first, last := keepLast(message)
 		ok = a.send(c, first, false) && a.send(c, net.Buffers{last}, true)
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -33,6 +33,7 @@
 type Exchange struct {
 	Message func() net.Buffers                            // makes the message, at most once, right before its first byte goes out
 	Rest    func(write Write) error                       // writes what follows Message; nil where that is whole
+	Long    bool                                          // Message may be longer than WholeWrite: its writing may have to wait for the worker
 	Guard   Guard                                         // asked once the connection is there; nil: nobody is asked
 	Read    func(r *bufio.Reader) (reuse bool, err error) // reads one answer, whole or up to where More says
 	More    func() bool                                   // tells, after Read, that the answer goes on; nil for never
--- a/internal/transport/moment_test.go
+++ b/internal/transport/moment_test.go
@@ -118,7 +118,7 @@
 // An attempt that is called off between the parts of its message never ran: its last byte has not gone out, and does not.
 func TestCalledOffBeforeTheLastByte(t *testing.T) {
 	peer, conns := server(t)
-	const long = 4 * wholeWrite
+	const long = 4 * WholeWrite
 	var a *Attempt
 	started, off := make(chan struct{}), make(chan struct{})
 	h := &hooks{quiet: once(2, func() { // right before the last byte
@@ -250,3 +250,75 @@
 	check(t, a, true, nil)
 	p.CloseIdle(peer)
 }
+
+// stuck is a socket whose writes wait until it is closed, as with a worker that reads nothing.
+type stuck struct {
+	Socket
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *stuck) Write([]byte) (int, error) {
+	<-s.closed
+	return 0, net.ErrClosed
+}
+
+func (s *stuck) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return s.Socket.Close()
+}
+
+// sticking is the system's network whose sockets get stuck once they have been asked for it.
+type sticking struct {
+	System
+	stick atomic.Bool
+}
+
+type sticky struct {
+	Socket
+	network *sticking
+	stuck   *stuck
+}
+
+func (n *sticking) Dial(ctx context.Context, addr string) (Socket, error) {
+	c, err := n.System.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &sticky{c, n, &stuck{Socket: c, closed: make(chan struct{})}}, nil
+}
+
+func (s *sticky) Write(b []byte) (int, error) {
+	if s.network.stick.Load() {
+		return s.stuck.Write(b)
+	}
+	return s.Socket.Write(b)
+}
+
+func (s *sticky) Close() error { return s.stuck.Close() }
+
+// The writing of a long message on a kept connection may have to wait for the worker; whoever starts it does not, and calls
+// it off when its time is over.
+func TestLongMessageIsNotWaitedFor(t *testing.T) {
+	peer, conns := server(t)
+	network := &sticking{}
+	p := NewPool(network, NewBudget(1), time.Minute, time.Minute)
+	a := p.Start(peer, message(true))
+	c := get(t, conns)
+	reply(c)
+	check(t, a, true, nil)
+	network.stick.Store(true)
+	x := message(true)
+	x.Long = true
+	x.Message = func() net.Buffers { return net.Buffers{make([]byte, 4*WholeWrite)} }
+	started := make(chan *Attempt)
+	go func() { started <- p.Start(peer, x) }()
+	select {
+	case a = <-started:
+	case <-time.After(30 * time.Second):
+		c.Close()
+		t.Fatal("Start waits for the worker")
+	}
+	a.Abort()
+	check(t, a, false, ErrAborted)
+}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -53,7 +53,7 @@
 	a := &Attempt{Done: x.done(), x: x, wrote: make(chan struct{})}
 	if c := p.reuse(peer, a); c != nil {
 		c.SetReadDeadline(time.Time{})
-		if x.Rest != nil { // takes as long as its source
+		if x.Rest != nil || x.Long { // takes as long as its source, or the worker: the caller must not wait for it
 			go a.write(c)
 		} else {
 			a.write(c)
