A backend's age is bounded by when its start was heard of, whatever the wall clocks say

Told ages came from discovery's Unix time against this machine's clock alone, so that a clock ahead made a cold backend warm, and one behind kept a warm one cold for as long. Now a start that discovery tells of while this process listens is 2 s old at most, one to come is one of now, and a start keeps its time however often it is listed, also where its instance was left out in between.

Not covered: a start on the first list of a process whose clock is ahead (nothing to compare with).

--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -86,6 +86,9 @@
 	s.Clients.Shape = []string{"steady", "bursty", "heavy"}[random.IntN(3)]
 	s.Clients.Leave = []float64{0, 0.02, 0.1}[random.IntN(3)]
 	s.Registry.Pushed = random.IntN(4) == 0
+	if random.IntN(3) == 0 {
+		s.Registry.Clock = []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour}[random.IntN(4)]
+	}
 	s.Classes[2].Group = []string{"all", "zone", "cell"}[random.IntN(3)]
 	s.Classes[2].Window = time.Duration(1+random.IntN(12)) * time.Second
 	from := faultsFrom
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -179,15 +179,16 @@
 		kind = decide.ListFull
 	}
 	r.generation = list.Generation
+	news := r.informed
 	if kind != decide.ListCached {
-		r.heard, r.silent = time.Now(), false
+		r.heard, r.silent, r.informed = time.Now(), false, true
 	}
 	r.foreign = r.foreign && kind == decide.ListDelta
 	servers := make([]decide.Server, 0, len(list.Instances))
 	stale := []transport.Peer{} // whose idle connections are of no more use
 	listed := map[decide.ServerID]bool{}
 	for i := range list.Instances {
-		w, s := r.describe(&list.Instances[i])
+		w, s := r.describe(&list.Instances[i], news)
 		listed[w.id] = true
 		servers = append(servers, s)
 		if old := r.workers[w.id]; old != nil && (w.state != decide.Ready || *old != *w) {
@@ -221,8 +222,9 @@
 	r.carryOut(rest)
 }
 
-// describe gives an instance its stable number and the module's view of it.
-func (r *Router) describe(i *protocol.Instance) (*worker, decide.Server) {
+// describe gives an instance its stable number and the module's view of it. news tells that discovery has given a list
+// before, so that a start which that did not have is a recent one.
+func (r *Router) describe(i *protocol.Instance, news bool) (*worker, decide.Server) {
 	id, known := r.ids[i.ID]
 	if !known {
 		r.lastID++
@@ -240,7 +242,7 @@
 		r.seen[i.ID] = true
 	}
 	listed := decide.Server{
-		ID: id, Started: time.Duration(i.StartedMs) * time.Millisecond, Cell: i.Cell, State: state,
+		ID: id, Started: r.started(i, news), Cell: i.Cell, State: state,
 		Zone: r.zone(i.Zone, id), Kind: position(r.Names.Kinds, i.Kind), Nominal: i.Weight,
 	}
 	state = r.Out.State(i.ID, i.Zone, state)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -74,12 +74,14 @@
 	strange  map[string]int  // zones that the settings do not name, each with a number of its own, up to mostStrange
 	seen     map[string]bool // the registry's ids of workers listed since the start, up to maxSeen
 
-	source                     // where the list comes from now
-	foreign      bool          // the list at hand came from the registry before
-	generation   uint64        // of the list at hand
-	subscription *subscription // the watch that is going on, nil where there is none
-	silent       bool          // a call has found silence, and none has succeeded since
-	heard        time.Time     // when the registry last answered; at the start, when this began
+	source                        // where the list comes from now
+	foreign      bool             // the list at hand came from the registry before
+	generation   uint64           // of the list at hand
+	subscription *subscription    // the watch that is going on, nil where there is none
+	silent       bool             // a call has found silence, and none has succeeded since
+	informed     bool             // discovery has given a list since the start
+	starts       map[string]start // of the instances seen, by the registry's id, up to maxSeen
+	heard        time.Time        // when the registry last answered; at the start, when this began
 }
 
 // New returns a Router that knows the workers of the list known. It works until ctx is done.
@@ -87,7 +89,7 @@
 	r := &Router{
 		Config: c, ending: make(chan struct{}), origin: time.Now(), ctx: ctx, balancer: decide.New(c.Decide, c.Seed), source: source{addr: c.Registry},
 		calls: map[uint64]*task{}, ids: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
-		seen: map[string]bool{}, strange: map[string]int{},
+		seen: map[string]bool{}, strange: map[string]int{}, starts: map[string]start{},
 	}
 	for _, id := range c.Out.IDs() {
 		r.seen[id] = true
