Local connect failures say nothing of a backend; deadlines have one owner by check

The terms on system calls: EADDRNOTAVAIL, ENOBUFS, ENOMEM, EMFILE, ENFILE, ENETUNREACH and the like from socket or connect have their cause on this machine: they never ran, and no longer count against the backend. A test lets accept fail in nine ways that pass; the listener survives them and says so once.

--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -339,6 +339,8 @@
 		return decide.Cancelled
 	case result.Sent && (protocol.IsMalformed(result.Err) || errors.Is(result.Err, transport.ErrEarly)):
 		return decide.Spoilt // the worker did answer
+	case !result.Sent && errors.Is(result.Err, transport.ErrLocal):
+		return decide.Moot // never ran, and says nothing of the worker
 	case errors.Is(result.Err, transport.ErrAborted), errors.Is(result.Err, transport.ErrCrowded), errors.Is(result.Err, transport.ErrSource),
 		errors.Is(result.Err, transport.ErrRevoked), errors.Is(result.Err, transport.ErrEarly):
 		return decide.Moot // says nothing of the worker
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -35,6 +35,7 @@
 		"time out":                     {result: transport.Result{Sent: true, Err: transport.ErrAborted}, expired: true, want: decide.TimedOut},
 		"cancelled":                    {result: transport.Result{Sent: true, Err: transport.ErrAborted}, want: decide.Cancelled},
 		"time out while connecting":    {result: transport.Result{Err: transport.ErrAborted}, expired: true, want: decide.Moot},
+		"no port on this machine":      {result: transport.Result{Err: transport.ErrLocal}, want: decide.Moot},
 		"no descriptor":                {result: transport.Result{Err: transport.ErrCrowded}, want: decide.Moot},
 		"worker left the list":         {result: transport.Result{Err: transport.ErrRevoked}, want: decide.Moot},
 		"client left while connecting": {result: transport.Result{Err: transport.ErrRevoked}, gone: true, want: decide.Moot},
--- a/internal/sourcecheck/main.go
+++ b/internal/sourcecheck/main.go
@@ -1,5 +1,6 @@
-// Command sourcecheck prints what the repository's own rules for Go files find: a file that is too long, and an exported
-// item without a doc comment, which staticcheck's checks of comments pass over.
+// Command sourcecheck prints what the repository's own rules for Go files find: a file that is too long, an exported
+// item without a doc comment, which staticcheck's checks of comments pass over, and a socket's deadline that is set beside
+// its one owner.
 package main
 
 import (
@@ -68,6 +69,7 @@
 	if err != nil {
 		return findings, err
 	}
+	findings = append(findings, strayDeadlines(path, files, file)...)
 	if file.Name.Name == "main" {
 		return findings, nil
 	}
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -15,6 +15,10 @@
 	ErrCrowded = errors.New("no descriptor left for a connection")
 	ErrEarly   = errors.New("an answer began before its message was out")
 	ErrSource  = errors.New("its message broke off")
+
+	// ErrLocal says that this machine could not open a connection, for want of ports, buffers, descriptors or a route: it
+	// tells nothing of the worker.
+	ErrLocal = errors.New("this machine opens no connection now")
 )
 
 // Guard lets an exchange's message go out, and hears how long that took.
--- a/internal/transport/system.go
+++ b/internal/transport/system.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -21,7 +22,7 @@
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, err
+		return nil, dialError(err)
 	}
 	t := c.(*net.TCPConn)
 	raw, err := t.SyscallConn()
@@ -32,6 +33,20 @@
 	return &socket{t, raw}, nil
 }
 
+// localFailures are the errors of socket, bind and connect that have their cause on this machine (connect(2), socket(2)).
+var localFailures = []error{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM, syscall.EMFILE, syscall.ENFILE, syscall.ENETUNREACH,
+	syscall.ENETDOWN, syscall.EAGAIN}
+
+// dialError marks a failure that has its cause on this machine with ErrLocal.
+func dialError(err error) error {
+	for _, local := range localFailures {
+		if errors.Is(err, local) {
+			return fmt.Errorf("%w: %w", ErrLocal, err)
+		}
+	}
+	return err
+}
+
 // socket is a TCP connection. Embedding keeps its gathered writes.
 type socket struct {
 	*net.TCPConn
--- /dev/null
+++ b/internal/transport/system_test.go
@@ -0,0 +1,72 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A failure of this machine's own is told from one of the peer's.
+func TestDialError(t *testing.T) {
+	for errno, local := range map[syscall.Errno]bool{
+		syscall.EADDRNOTAVAIL: true, syscall.ENOBUFS: true, syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENETUNREACH: true,
+		syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ECONNRESET: false,
+	} {
+		err := dialError(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)})
+		if errors.Is(err, ErrLocal) != local || !errors.Is(err, errno) {
+			t.Errorf("%v: %v", errno, err)
+		}
+	}
+	if _, err := (System{}).Dial(context.Background(), "127.0.0.1:1"); err == nil || errors.Is(err, ErrLocal) {
+		t.Errorf("a refused connection: %v", err)
+	}
+}
+
+// failing is a listener whose accept fails in all the ways that pass, and then works.
+type failing struct {
+	net.Listener
+	left atomic.Int64
+}
+
+// transient are accept's errors that pass (accept(2)).
+var transient = []syscall.Errno{syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+	syscall.EINTR, syscall.ENETDOWN, syscall.EHOSTUNREACH}
+
+func (l *failing) Accept() (net.Conn, error) {
+	if n := l.left.Add(-1); n >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", transient[n])}
+	}
+	return l.Listener.Accept()
+}
+
+// A listener survives every failure that passes, and says so once for each stretch.
+func TestAcceptSurvives(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	flaky := &failing{Listener: ln}
+	flaky.left.Store(int64(len(transient)))
+	l := Serve(flaky, 1, 1)
+	var failures atomic.Int64
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.Accept(func(c *Client) { c.Send(net.Buffers{[]byte("x")}, time.Second) }, func(error) { failures.Add(1) })
+	}()
+	c := connect(t, l)
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Error(err)
+	}
+	l.Close()
+	<-ended
+	if n := failures.Load(); n != 1 {
+		t.Error(fmt.Sprint(n, " failures were told of one stretch"))
+	}
+}
