The simulation names the laboratory's new event; its table was one short

Found by the suite: internal/sim/runner panicked (index 27 of 27) once the judge had the event Stopped.

--- a/internal/sim/play.go
+++ b/internal/sim/play.go
@@ -182,7 +182,7 @@
 
 var kinds = [...]string{"asked", "answered", "ended", "quit", "gave up", "arrived", "ran", "unrun", "closed", "probed", "told", "listed", "able",
 	"fell", "killed", "termed", "exited", "began", "used", "pipelined", "bad call",
-	"hushed", "denied", "resumed", "reloaded", "pushed", "reached"}
+	"hushed", "denied", "resumed", "reloaded", "pushed", "stopped", "reached"}
 
 func (r *recorder) event(e judge.Event, broken []judge.Violation) {
 	r.mu.Lock()
