A voter's disk that was taken out does not come back as a member

Cause: a voter notes durably that it has had its vote some 250 ms after the entry that gave it. Ruled out: a late answer of an old leader, for the leader there was proved by a barrier. Change: an entrant whose disk has a log sends the newest configuration in it that lists its identity; a leader whose committed log has that entry, but lists the identity no more, refuses it for good, and the entrant ends with cluster_replaced_elsewhere. A configuration that a lost leader never committed does not count. Tests: the order forced (the note taken back on the disk): without the check the old disk gets its vote in 1 s and the test waits for the refusal in vain.

--- a/internal/cluster/voter/join.go
+++ b/internal/cluster/voter/join.go
@@ -19,6 +19,8 @@
 	Name        string `json:"name"`
 	Identity    string `json:"identity"`
 	Cluster     string `json:"cluster"` // the id that it has kept, "" for none
+	// Member is what its disk knew of its own membership when it started; nil for nothing.
+	Member *membership `json:"member,omitempty"`
 }
 
 // taken is its answer.
@@ -26,6 +28,9 @@
 	Cluster string `json:"cluster"` // the id to be kept before anything else
 	Votes   bool   `json:"votes"`
 	Said    string `json:"said,omitempty"`
+	// Replaced says that the entrant was a member and was taken out: it never comes in again.
+	Replaced bool   `json:"replaced,omitempty"`
+	Holder   string `json:"holder,omitempty"` // then, the identity that has its name; "" for none
 }
 
 // attempt is how far the leader is with an entrant.
@@ -37,7 +42,7 @@
 // askJoin asks one voter after another, from the one that answered last on, and gives the name of the one that has.
 func (v *Voter) askJoin(ctx context.Context, from string) string {
 	id := v.disk.Identity()
-	ask := entrant{ClusterName: v.c.Cluster, Listed: v.c.listed(), Name: v.c.Name, Identity: id.Identity, Cluster: id.Cluster}
+	ask := entrant{ClusterName: v.c.Cluster, Listed: v.c.listed(), Name: v.c.Name, Identity: id.Identity, Cluster: id.Cluster, Member: v.member}
 	begin := 0
 	for i, p := range v.c.Voters {
 		if p.Name == from {
@@ -57,6 +62,10 @@
 			v.lines.warn("cluster_not_joined", "voter", v.c.Name, "asked", p.Name, "why", err)
 			continue
 		}
+		if t.Replaced && t.Cluster == id.Cluster {
+			v.replaced(id.Identity, t.Holder)
+			return p.Name
+		}
 		// Also where the id is kept already: the first voter, started again before it held an entry, does not run raft yet.
 		if (t.Cluster != id.Cluster || v.running() == nil) && disk.ValidID(t.Cluster) {
 			v.starts.Lock()
@@ -143,6 +152,12 @@
 	if at.Identity != e.Identity || at.Cluster != run.cluster {
 		return t, fmt.Errorf("at %s answers the identity %.40q of the cluster %.40q", v.c.address(e.Name), at.Identity, at.Cluster)
 	}
+	if at, err := v.place(ctx, run, asked{e.Name, e.Identity}); err != nil {
+		return t, err
+	} else if out, err := v.takenOut(e, at); err != nil || out {
+		t.Replaced, t.Holder = out, at.Holder
+		return t, err
+	}
 	end := run.raft.LastIndex()
 	before, known := v.attempt(e.Identity, attempt{term: run.raft.CurrentTerm(), last: end})
 	for _, s := range c.Servers {
--- a/internal/cluster/voter/place.go
+++ b/internal/cluster/voter/place.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"burlpass/internal/cluster/voter/link"
 )
 
@@ -23,6 +25,7 @@
 type stands struct {
 	Cluster string `json:"cluster"`
 	Votes   bool   `json:"votes"`            // the identity that was asked for
+	Listed  bool   `json:"listed,omitempty"` // it is a member, with a vote or without
 	Holder  string `json:"holder,omitempty"` // the identity that has the name; "" for none
 }
 
@@ -67,12 +70,7 @@
 		case now.Votes:
 			return
 		}
-		by := "nobody"
-		if now.Holder != "" {
-			by = "the identity " + now.Holder
-		}
-		v.end("cluster_replaced_elsewhere", fmt.Errorf("%s: the identity %s was taken out of the cluster, and %s has the name %q now: "+
-			"this voter counts for nothing; empty the folder and restart it, so that it joins anew, or leave it down", v.c.Folder, id.Identity, by, v.c.Name))
+		v.replaced(id.Identity, now.Holder)
 		return
 	}
 }
@@ -119,7 +117,7 @@
 	if run.raft.CurrentTerm() != term {
 		return stands{}, errNotLeading
 	}
-	now := stands{Cluster: run.cluster, Votes: votes(c, a.Identity)}
+	now := stands{Cluster: run.cluster, Votes: votes(c, a.Identity), Listed: listed(c, raft.ServerID(a.Identity))}
 	for _, s := range c.Servers {
 		if name, identity := link.Split(s.Address); name == a.Name && identity != a.Identity {
 			now.Holder = identity
--- /dev/null
+++ b/internal/cluster/voter/replaced_test.go
@@ -0,0 +1,121 @@
+package voter
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"burlpass/internal/cluster/voter/disk"
+	"burlpass/internal/cluster/voter/link"
+)
+
+// forgetVote takes back, on a closed node's disk, the note that it has had its vote: as a process leaves it that is killed
+// between the entry that gave it the vote and the note.
+func (d *node) forgetVote() {
+	d.c.t.Helper()
+	path := filepath.Join(d.folder, "identity")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		d.c.t.Fatal(err)
+	}
+	before := strings.Replace(string(text), `"voted": true`, `"voted": false`, 1)
+	if before == string(text) {
+		d.c.t.Fatalf("no vote is noted in %s", text)
+	}
+	if err := os.WriteFile(path, []byte(before), 0o600); err != nil {
+		d.c.t.Fatal(err)
+	}
+}
+
+// TestOldDiskWithoutItsVote brings back the disk of an identity that was taken out, whose process was killed before it had
+// noted its vote, so that it asks to be taken in. It must not displace the identity that has its name.
+func TestOldDiskWithoutItsVote(t *testing.T) {
+	c := newCluster(t, 3)
+	c.timings = Timings{Call: 500 * time.Millisecond}
+	c.open()
+	d := c.others(c.leader())[0]
+	others := c.others(d)
+	others[0].write("a", "w", 0)
+	d.has("w")
+	old := d.v.Status().Identity
+	d.close()
+	d.forgetVote()
+	aside := t.TempDir()
+	swap := func() {
+		for _, move := range [][2]string{{d.folder, d.folder + ".kept"}, {aside, d.folder}, {d.folder + ".kept", aside}} {
+			if err := os.Rename(move[0], move[1]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		d.open()
+	}
+	swap()
+	c.votes(d, others...)
+	now := d.v.Status().Identity
+	d.close()
+	swap()
+	c.eventually("it says that it was replaced", func() bool { return d.v.Status().State == "failed" })
+	if fault := d.v.Status().Fault; !strings.Contains(fault, old) || !strings.Contains(fault, now) {
+		t.Fatal(fault)
+	}
+	d.close()
+	swap() // the one that counts
+	c.votes(d, others...)
+	if s := d.v.Status(); s.Identity != now {
+		t.Fatalf("the identity %s has the name, and %s was taken in", s.Identity, now)
+	}
+}
+
+// TestWasMember tells a configuration that was committed from one that a leader lost before it was.
+func TestWasMember(t *testing.T) {
+	id := disk.NewID()
+	entry := func(index, term uint64, ids ...string) *raft.Log {
+		var c raft.Configuration
+		for _, identity := range ids {
+			c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(identity), Address: link.Address("v", identity)})
+		}
+		return &raft.Log{Index: index, Term: term, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(c)}
+	}
+	own, leaders := raft.NewInmemStore(), raft.NewInmemStore()
+	store := func(to *raft.InmemStore, logs ...*raft.Log) {
+		if err := to.StoreLogs(logs); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m, err := lastMembership(own, nil, id); err != nil || m != nil {
+		t.Fatalf("%+v, %v of an empty log", m, err)
+	}
+	store(own, entry(1, 1, "another"), entry(2, 1, id), entry(3, 2, id), entry(4, 2, "another"))
+	m, err := lastMembership(own, nil, id)
+	if err != nil || m == nil || *m != (membership{Index: 3, Term: 2}) {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	for _, c := range []struct {
+		what string
+		logs []*raft.Log
+		want bool
+	}{
+		{"the same entry", []*raft.Log{entry(3, 2, id)}, true},
+		{"the entry of a later leader in its place", []*raft.Log{entry(3, 3, "another")}, false},
+		{"the log begins after it", []*raft.Log{entry(4, 5, "another")}, true},
+		{"the log ends before it", []*raft.Log{entry(1, 1, "another"), entry(2, 1, id)}, false},
+	} {
+		leaders = raft.NewInmemStore()
+		store(leaders, c.logs...)
+		if was, err := wasCommitted(leaders, m); err != nil || was != c.want {
+			t.Errorf("%s: %v, %v", c.what, was, err)
+		}
+	}
+	snapshot := &raft.SnapshotMeta{Index: 9, ConfigurationIndex: 5, Configuration: raft.Configuration{Servers: []raft.Server{{ID: raft.ServerID(id)}}}}
+	m, err = lastMembership(raft.NewInmemStore(), snapshot, id)
+	if err != nil || m == nil || !m.Committed {
+		t.Fatalf("%+v, %v of a snapshot", m, err)
+	}
+	if was, err := wasCommitted(leaders, m); err != nil || !was {
+		t.Errorf("a snapshot's configuration: %v, %v", was, err)
+	}
+}
--- a/internal/cluster/voter/voter.go
+++ b/internal/cluster/voter/voter.go
@@ -31,6 +31,7 @@
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+	member *membership // that the disk knew of when this voter was opened; nil for none
 
 	starts sync.Mutex // held while raft is started or stopped, or the cluster's id is set
 	admits sync.Mutex // held by the leader for one step of taking a voter in
@@ -95,6 +96,11 @@
 	if state && id.Cluster == "" {
 		return errors.New(v.c.Folder + ": a log without a cluster's id: empty the folder, so that this voter joins anew")
 	}
+	if state && !id.Voted {
+		if v.member, err = v.readMembership(); err != nil {
+			return err
+		}
+	}
 	v.starts.Lock()
 	defer v.starts.Unlock()
 	if id.Cluster != "" && (state || !v.c.first()) {
