The laboratory's addresses are free as soon as their listener is closed

Ruled out: two runs in one block (claimed by a listener), ports of outgoing connections, a listener left open. Holding the fork lock while closing does not suffice: the child closes its copy after its parent goes on. Change: the listener ends listening before it is closed.

--- a/internal/lab/stage/system.go
+++ b/internal/lab/stage/system.go
@@ -68,6 +68,15 @@
 	fillers []net.Conn // connections that fill the backlog of a muted listener
 }
 
+// Close ends listening and closes the listener. Closing alone would not free the address: a child process that is forked but
+// not yet executed holds a copy of every descriptor, so the socket would listen until the child has closed its copy.
+func (l *tcpListener) Close() error {
+	if raw, err := l.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
+	return l.TCPListener.Close()
+}
+
 func (l *tcpListener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
 	if err != nil {
--- /dev/null
+++ b/internal/lab/stage/system_test.go
@@ -0,0 +1,46 @@
+package stage
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"testing"
+)
+
+// A listener's address is free as soon as the listener is closed, also while child processes are started. Without the
+// shutdown in Close many are still taken.
+func TestAddressIsFreeWhileProcessesStart(t *testing.T) {
+	system := &System{}
+	block, release, err := system.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	addr := (&network{block: block}).worker(0, 0)
+	over := make(chan struct{})
+	var forks sync.WaitGroup
+	for range 4 {
+		forks.Go(func() {
+			for {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				if err := exec.Command(os.Args[0], "-test.run=^$").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	defer forks.Wait()
+	defer close(over)
+	for range 3000 {
+		ln, err := system.Listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ln.Close()
+	}
+}
