The soak plays sidecars whose system calls fail in bursts

EINTR and short writes are finished by Go's runtime and cannot be seen at this seam. Tests: each kind alone on a child process, 120 requests of a class that must not be repeated, two backends: one whole answer each, none sent twice, no invariant broken. An attempt whose broken read counts as never run is found by it.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -123,7 +123,10 @@
 	return log, nil
 }
 
-func (a *app) serve(*cobra.Command, []string) error {
+func (a *app) serve(*cobra.Command, []string) error { return a.serveOn(transport.System{}) }
+
+// serveOn runs one sidecar on a network until a signal ends it.
+func (a *app) serveOn(network transport.Network) error {
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -144,7 +147,7 @@
 		}
 	}
 	config.Limits.Apply()
-	sidecar, err := program.New(transport.System{}, config, log)
+	sidecar, err := program.New(network, config, log)
 	if err != nil {
 		return wrong(err)
 	}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -30,7 +30,7 @@
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	lab.AddCommand(a.labRun(), a.labCompare(), a.labList(), a.labReport(), a.labFleet(), a.labCount(), a.labSoak(), a.referenceCommand())
+	lab.AddCommand(a.labRun(), a.labCompare(), a.labList(), a.labReport(), a.labFleet(), a.labCount(), a.labSoak(), a.labFailing(), a.referenceCommand())
 	return lab
 }
 
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/spf13/cobra"
 
+	"burlpass/internal/lab/faultnet"
 	"burlpass/internal/lab/report"
 	"burlpass/internal/lab/scenario"
 	"burlpass/internal/lab/soak"
@@ -63,6 +66,41 @@
 	return c
 }
 
+// labFailing is the sidecar of days on which system calls fail.
+func (a *app) labFailing() *cobra.Command {
+	var seed uint64
+	c := &cobra.Command{
+		Use:   failingCommand,
+		Short: "Run one sidecar as serve does, with system calls that fail in bursts",
+		Long: `Runs one sidecar as serve does. Calls to accept, connect, read and write fail in bursts drawn from the seed and
+EDGE_NAME, as the manual pages of Linux say that they may, and reads are short. lab soak plays it on one day in three.`,
+		Example: `  EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.json burlpass lab failing --seed 3`,
+		Hidden:  true,
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			name := fnv.New64a()
+			name.Write([]byte(a.getenv("EDGE_NAME"))) // each sidecar has its own bursts
+			network := faultnet.New(seed ^ name.Sum64())
+			err := a.serveOn(network)
+			fmt.Fprintf(a.stderr, "event=failed_calls %s\n", network.Counts())
+			return err
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "what the bursts are drawn from")
+	return c
+}
+
+// failingCommand is the name of labFailing's command.
+const failingCommand = "failing"
+
+// buildOf is the program that a seed's day is played with.
+func (r *soakRun) buildOf(seed uint64) build {
+	if r.build.name != "self" || !soak.FailingCalls(seed) {
+		return r.build
+	}
+	return build{"self, calls fail", []string{r.build.command[0], "lab", failingCommand, "--seed", strconv.FormatUint(seed, 10)}}
+}
+
 // all plays the days, some at a time, and prints the last line.
 func (r *soakRun) all(ctx context.Context, from uint64, count, parallel int, shrink bool) error {
 	seeds := make(chan uint64)
@@ -100,7 +138,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.coverage.Add(s)
+	r.coverage.Add(s, soak.FailingCalls(seed))
 	if day != nil && day.Result.Lateness.Void != "" {
 		r.void = append(r.void, seed)
 	}
@@ -110,7 +148,7 @@
 		return
 	}
 	r.failed++
-	fmt.Fprintf(r.app.stdout, "seed %d FAILED\n", seed)
+	fmt.Fprintf(r.app.stdout, "seed %d FAILED%s\n", seed, map[bool]string{true: ", with failing calls"}[soak.FailingCalls(seed)])
 	if shrink {
 		s = soak.Shrink(s, func(smaller *scenario.Scenario) bool {
 			_, found := r.play(ctx, smaller, seed)
@@ -134,7 +172,7 @@
 	if err := os.RemoveAll(folder); err != nil {
 		return nil, []string{err.Error()}
 	}
-	day, err := r.app.play(ctx, s, seed, r.build, nil, folder, true)
+	day, err := r.app.play(ctx, s, seed, r.buildOf(seed), nil, folder, true)
 	if err != nil {
 		return nil, []string{err.Error()}
 	}
@@ -154,7 +192,7 @@
 	return day, findings
 }
 
-// printCoverage prints how often each kind of fault was played, and how many pairs of kinds overlapped.
+// printCoverage prints how often each kind of fault was played, and how often each pair of kinds overlapped.
 func (r *soakRun) printCoverage() {
 	var kinds []string
 	for kind := range r.coverage.Kinds {
@@ -165,4 +203,9 @@
 		fmt.Fprintf(r.app.stdout, "%-14s %d\n", kind, r.coverage.Kinds[kind])
 	}
 	fmt.Fprintf(r.app.stdout, "%d pairs of kinds overlapped\n", len(r.coverage.Pairs))
+	for i, a := range kinds {
+		for _, b := range kinds[i:] {
+			fmt.Fprintf(r.app.stdout, "  %s + %s: %d\n", a, b, r.coverage.Pairs[[2]string{a, b}])
+		}
+	}
 }
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -137,3 +137,6 @@
 	}
 	return f
 }
+
+// FailingCalls tells whether system calls of the sidecars fail in bursts on a seed's day: on one day in three.
+func FailingCalls(seed uint64) bool { return seed%3 == 0 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -72,10 +72,19 @@
 // NewCoverage returns an empty count.
 func NewCoverage() *Coverage { return &Coverage{map[string]int{}, map[[2]string]int{}} }
 
-// Add counts a day.
-func (c *Coverage) Add(s *scenario.Scenario) {
+// systemCalls is the kind that FailingCalls stands for. It lasts for the whole day.
+const systemCalls = "system_calls"
+
+// Add counts a day, with system calls that failed or without.
+func (c *Coverage) Add(s *scenario.Scenario, failingCalls bool) {
+	if failingCalls {
+		c.Kinds[systemCalls]++
+	}
 	for i, a := range s.Faults {
 		c.Kinds[a.Kind]++
+		if failingCalls {
+			c.Pairs[[2]string{min(a.Kind, systemCalls), max(a.Kind, systemCalls)}]++
+		}
 		for _, b := range s.Faults[i+1:] {
 			if a.At <= b.At+b.Length && b.At <= a.At+a.Length {
 				c.Pairs[[2]string{min(a.Kind, b.Kind), max(a.Kind, b.Kind)}]++
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -28,9 +28,9 @@
 				t.Errorf("seed %d: %s", seed, Fault(f))
 			}
 		}
-		seen.Add(s)
+		seen.Add(s, FailingCalls(seed))
 	}
-	for _, kind := range Kinds {
+	for _, kind := range append([]string{systemCalls}, Kinds...) {
 		if seen.Kinds[kind] == 0 {
 			t.Errorf("%s never arose", kind)
 		}
--- /dev/null
+++ b/internal/program/failing_test.go
@@ -0,0 +1,137 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"burlpass/internal/invariant"
+	"burlpass/internal/lab/faultnet"
+)
+
+const (
+	failingShare    = 0.1 // of the calls of a kind
+	failingClients  = 4
+	failingRequests = 30 // of each client
+	failingAnswer   = "the whole answer of the backend"
+)
+
+// counted are two backends that count how often they were sent each request, by its id.
+func counted(t *testing.T) (addrs string, most func() (id string, times int)) {
+	var mu sync.Mutex
+	times := map[string]int{}
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // a part of a request never ran
+		}
+		mu.Lock()
+		if id := r.Header.Get("X-Trace-Id"); id != "" {
+			times[id]++
+		}
+		mu.Unlock()
+		io.WriteString(w, failingAnswer)
+	})
+	one, other := httptest.NewServer(serve), httptest.NewServer(serve)
+	t.Cleanup(one.Close)
+	t.Cleanup(other.Close)
+	return one.Listener.Addr().String() + "," + other.Listener.Addr().String(), func() (id string, n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		for i, k := range times {
+			if k > n {
+				id, n = i, k
+			}
+		}
+		return id, n
+	}
+}
+
+// oneAnswer sends a request on a connection of its own, and checks that one whole and final answer comes, and then the end.
+func oneAnswer(addr, request string) (status int, err error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(giveUp))
+	if _, err := io.WriteString(conn, strings.Replace(request, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)); err != nil {
+		return 0, err
+	}
+	r := bufio.NewReader(conn)
+	a, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err
+	}
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return 0, err
+	}
+	if a.StatusCode == http.StatusOK && string(body) != failingAnswer {
+		return 0, fmt.Errorf("200 with %q", body)
+	}
+	if more, _ := io.ReadAll(r); len(more) > 0 {
+		return 0, fmt.Errorf("%q behind the answer", more)
+	}
+	return a.StatusCode, nil
+}
+
+// While a tenth of the system calls of a kind fail, every request gets its one answer, and none that may have run goes out again.
+// The requests are of a class that must not be repeated.
+func TestFailingSystemCalls(t *testing.T) {
+	lawful := map[int]bool{http.StatusOK: true, http.StatusBadGateway: true, http.StatusServiceUnavailable: true, http.StatusGatewayTimeout: true}
+	for _, kind := range faultnet.Kinds() {
+		t.Run(kind.String(), func(t *testing.T) {
+			t.Setenv(failingEnv, strconv.Itoa(int(kind)))
+			backends, most := counted(t)
+			log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer log.Close()
+			_, addr := startLogged(t, backends, 256, log)
+			var mu sync.Mutex
+			answers := map[int]int{}
+			var clients sync.WaitGroup
+			for range failingClients {
+				clients.Go(func() {
+					for range failingRequests {
+						status, err := oneAnswer(addr, booking())
+						mu.Lock()
+						answers[status]++
+						if err != nil || !lawful[status] {
+							t.Errorf("%d, %v", status, err)
+						}
+						mu.Unlock()
+					}
+				})
+			}
+			clients.Wait()
+			t.Log(answers)
+			if text, err := os.ReadFile(log.Name()); err != nil || strings.Contains(string(text), invariant.Event) {
+				t.Errorf("an invariant was broken: %v\n%s", err, text)
+			}
+			if id, times := most(); times > 1 {
+				t.Errorf("the backends were sent %s %d times", id, times)
+			}
+			if answers[http.StatusOK] == 0 {
+				t.Error("nothing was served")
+			}
+			// Neither has anything to do with what a request may get.
+			if kind == faultnet.Accept || kind == faultnet.ShortRead {
+				if served := answers[http.StatusOK]; served != failingClients*failingRequests {
+					t.Errorf("%d of %d were served", served, failingClients*failingRequests)
+				}
+			}
+		})
+	}
+}
--- a/internal/program/main_test.go
+++ b/internal/program/main_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"testing"
 
 	"go.uber.org/goleak"
 
+	"burlpass/internal/lab/faultnet"
 	"burlpass/internal/logging"
 	"burlpass/internal/transport"
 )
@@ -16,6 +18,9 @@
 // childEnv makes the test's binary a sidecar that prints where it listens.
 const childEnv = "BURLPASS_TEST_CHILD"
 
+// failingEnv gives such a sidecar a network a tenth of whose calls of a kind fail; the kind as a number.
+const failingEnv = "BURLPASS_TEST_FAILING"
+
 // Whatever a test has ended leaves no goroutine behind.
 func TestMain(m *testing.M) {
 	if os.Getenv(childEnv) != "" {
@@ -38,7 +43,11 @@
 	if err != nil {
 		return err
 	}
-	sidecar, err := New(transport.System{}, c, log)
+	network, err := childNetwork(os.Getenv(failingEnv))
+	if err != nil {
+		return err
+	}
+	sidecar, err := New(network, c, log)
 	if err != nil {
 		return err
 	}
@@ -48,3 +57,11 @@
 	sidecar.Run(signals)
 	return nil
 }
+
+func childNetwork(failing string) (transport.Network, error) {
+	if failing == "" {
+		return transport.System{}, nil
+	}
+	kind, err := strconv.ParseUint(failing, 10, 8)
+	return faultnet.Always(faultnet.Kind(kind), failingShare), err
+}
--- a/internal/program/overload_test.go
+++ b/internal/program/overload_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -64,8 +65,8 @@
 	}
 }
 
-// start starts this binary as a sidecar with one worker and so many descriptors, and tells where it listens. Its log is
-// dropped.
+// start starts this binary as a sidecar with one backend, or several with commas between them, and so many descriptors,
+// and tells where it listens. Its log is dropped.
 func start(t testing.TB, worker string, sockets int) (c *exec.Cmd, addr string) {
 	return startLogged(t, worker, sockets, io.Discard)
 }
@@ -73,9 +74,13 @@
 // startLogged is start with the sidecar's log. The race detector would else hold the exit of its process up by a second.
 func startLogged(t testing.TB, worker string, sockets int, log io.Writer) (c *exec.Cmd, addr string) {
 	path := filepath.Join(t.TempDir(), "config.json")
+	var instances []string
+	for i, backend := range strings.Split(worker, ",") {
+		instances = append(instances, fmt.Sprintf(`{"instanceId":"s%d","hostPort":%q,"zone":"hall-a","machineType":"new",
+			"lifecycle":"up","weight":1,"startedAtMs":0}`, i, backend))
+	}
 	text := fmt.Sprintf(`{"seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
-		"known":{"generation":1,"reset":true,"instances":[{"instanceId":"s","hostPort":%q,"zone":"hall-a","machineType":"new",
-		"lifecycle":"up","weight":1,"startedAtMs":0}]},"settings":%s}`, sockets, worker, settings)
+		"known":{"generation":1,"reset":true,"instances":[%s]},"settings":%s}`, sockets, strings.Join(instances, ","), settings)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -154,7 +154,7 @@
 			empty = now
 		}
 		begun := later(empty, now.Add(-longestQueued))
-		c := &Client{deadlines: deadlines{conn: conn, begun: begun}, socket: asSocket(conn), listener: l}
+		c := &Client{deadlines: deadlines{conn: conn, begun: begun}, socket: AsSocket(conn), listener: l}
 		l.takeSlot()
 		l.join(c)
 		l.serving.Go(func() {
--- a/internal/transport/quiet_wasip1.go
+++ b/internal/transport/quiet_wasip1.go
@@ -10,8 +10,8 @@
 	return false, false
 }
 
-// asSocket is a client's connection as a Socket, nil where it is none.
-func asSocket(c net.Conn) Socket {
+// AsSocket is a client's connection as a Socket, nil where it is none.
+func AsSocket(c net.Conn) Socket {
 	s, _ := c.(Socket)
 	return s
 }
--- a/internal/transport/system.go
+++ b/internal/transport/system.go
@@ -22,7 +22,7 @@
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, dialError(err)
+		return nil, DialError(err)
 	}
 	t := c.(*net.TCPConn)
 	raw, err := t.SyscallConn()
@@ -37,8 +37,8 @@
 var localFailures = []error{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM, syscall.EMFILE, syscall.ENFILE, syscall.ENETUNREACH,
 	syscall.ENETDOWN, syscall.EAGAIN}
 
-// dialError marks a failure that has its cause on this machine with ErrLocal.
-func dialError(err error) error {
+// DialError marks a failure that has its cause on this machine with ErrLocal.
+func DialError(err error) error {
 	for _, local := range localFailures {
 		if errors.Is(err, local) {
 			return fmt.Errorf("%w: %w", ErrLocal, err)
@@ -89,8 +89,8 @@
 	return End
 }
 
-// asSocket is a client's connection as a Socket, nil where it is none.
-func asSocket(c net.Conn) Socket {
+// AsSocket is a connection that was accepted as a Socket, nil where it is none.
+func AsSocket(c net.Conn) Socket {
 	if s, ok := c.(Socket); ok {
 		return s
 	}
@@ -110,7 +110,7 @@
 	if q, ok := c.(interface{ Quiet() bool }); ok {
 		return q.Quiet(), true
 	}
-	s := asSocket(c)
+	s := AsSocket(c)
 	if s == nil {
 		return false, false
 	}
--- a/internal/transport/system_test.go
+++ b/internal/transport/system_test.go
@@ -18,7 +18,7 @@
 		syscall.EADDRNOTAVAIL: true, syscall.ENOBUFS: true, syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENETUNREACH: true,
 		syscall.ECONNREFUSED: false, syscall.ETIMEDOUT: false, syscall.EHOSTUNREACH: false, syscall.ECONNRESET: false,
 	} {
-		err := dialError(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)})
+		err := DialError(&net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)})
 		if errors.Is(err, ErrLocal) != local || !errors.Is(err, errno) {
 			t.Errorf("%v: %v", errno, err)
 		}
