--- a/internal/cli/fleet_cold.go
+++ b/internal/cli/fleet_cold.go
@@ -67,7 +67,7 @@
 	}
 	t.Flush()
 	fmt.Fprint(w, `
-all, told: the greatest part of its budget, N + 2 root N + 2 requests of mean work, that a cold worker got on a day, over
+all, told: the greatest part of its budget, N + 2 root N + 2 requests of mean work (N + 3 root N + 3 under 30), that a cold worker got on a day, over
 the days: from all sidecars, and from those told of its start. by number: the most where requests count alike. passed:
 processes that got more than their budget; of the told: those of whose first passing over two thirds came from the told.
 `)
