Server and attempt in place of acceptor and delegation

protocol.Acceptor is protocol.Server (server.go), routing's delegation is an attempt, Router.delegate is startAttempt; transport.Latest stands once, protocol's copy is gone. The log line call_overdue says attempts. Keys of the settings stay.

--- a/internal/cli/sim.go
+++ b/internal/cli/sim.go
@@ -28,7 +28,7 @@
 	c := &cobra.Command{
 		Use:   "sim",
 		Short: "Play the whole program on virtual time against faults drawn from seeds",
-		Long: `A simulated day runs the real acceptor, router, pool, parsers and decision module on a network in memory and on
+		Long: `A simulated day runs the real server, router, pool, parsers and decision module on a network in memory and on
 virtual time, with the laboratory's judge after each step. The same seed gives the same day, byte for byte. The
 guest is compiled from the source tree that the command stands in, with the go command. docs/simulation.md has the
 whole.`,
--- a/internal/lab/fleet/attempt.go
+++ b/internal/lab/fleet/attempt.go
@@ -16,7 +16,7 @@
 	used time.Duration // since when it is idle
 }
 
-// attempt is one delegation, or a probe.
+// attempt is one attempt, or a probe.
 type attempt struct {
 	sidecar *sidecar
 	life    int
--- a/internal/lab/judge/belief.go
+++ b/internal/lab/judge/belief.go
@@ -20,7 +20,7 @@
 type Moment struct {
 	Able    float64 `json:"able"` // share of the second in which it could serve
 	Sends   int     `json:"sends"`
-	Open    int     `json:"open"`     // delegations out at its end
+	Open    int     `json:"open"`     // attempts out at its end
 	LeftOut int     `json:"left_out"` // sidecars that left it out though it could serve
 	Used    int     `json:"used"`     // sidecars that sent to it though it could not
 }
--- a/internal/lab/judge/fell.go
+++ b/internal/lab/judge/fell.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// knowing is the share of a sidecar's delegations of late to a worker that it sent after it was told; all of it where it
+// knowing is the share of a sidecar's attempts of late to a worker that it sent after it was told; all of it where it
 // sent none, as for probes and handshakes.
 func (j *Judge) knowing(e *Event, sidecar int, told time.Duration) float64 {
 	all, after := 0, 0
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -21,7 +21,7 @@
 	Ended                 // Call, On: the sidecar ended the connection without a whole answer; On where it had read the call for sure
 	Quit                  // Call: the client left early, by its own will
 	GaveUp                // Call: the client stopped waiting, well after its deadline
-	Arrived               // Call, Serial, Sidecar, Worker, First, Spoilt: the last byte of a delegation has reached a worker's machine
+	Arrived               // Call, Serial, Sidecar, Worker, First, Spoilt: the last byte of an attempt has reached a worker's machine
 	Ran                   // Serial, Body: the worker did the work and made this answer
 	Unrun                 // Serial: the worker turned it away, saying so
 	Closed                // Serial: the attempt is over on its connection: answered whole, or the connection ended
@@ -61,7 +61,7 @@
 	On         bool
 	Again      bool
 	Wanted     bool
-	First      time.Duration // of the delegation's first byte
+	First      time.Duration // of the attempt's first byte
 	Budget     time.Duration
 	RetryAfter time.Duration
 	Started    time.Duration
@@ -117,7 +117,7 @@
 	attempts []*attempt
 }
 
-// attempt is one delegation.
+// attempt is one attempt.
 type attempt struct {
 	serial  int64
 	call    *call
--- a/internal/lab/judge/report.go
+++ b/internal/lab/judge/report.go
@@ -69,7 +69,7 @@
 	Calls      int           `json:"calls"`
 	Tries      int           `json:"tries"`
 	Attempts   int           `json:"attempts"`
-	Crossed    float64       `json:"crossed"` // delegations across halls, for each call
+	Crossed    float64       `json:"crossed"` // attempts across halls, for each call
 	Probes     float64       `json:"probes"`  // for each call
 	Waste      float64       `json:"waste"`   // work done for nobody, over work asked for
 	LateFail   float64       `json:"late_fail"`
--- a/internal/lab/report/html.go
+++ b/internal/lab/report/html.go
@@ -222,7 +222,7 @@
 {{range .Days}}<h2>{{.Scenario}}, seed {{.Seed}}, {{.Build}}</h2>
 <p class="{{if eq .Verdict "the rules were kept"}}good{{else}}bad{{end}}">{{.Verdict}}</p>{{with .Result}}
 <p>Figure {{f3 .Report.G}}; worth {{f3 .Report.Worth}}, worst 10 s {{f3 .Report.Worst}} from second {{f1 .Report.WorstAt}}, worst class {{f3 .Report.WorstClass}}.
-{{.Report.Calls}} calls in {{.Report.Tries}} tries and {{.Report.Attempts}} delegations, {{f3 .Report.Crossed}} crossings and {{f3 .Report.Probes}} probes a call, {{pct .Report.Waste}} of the work wasted, {{.Report.Refused}} tries refused.
+{{.Report.Calls}} calls in {{.Report.Tries}} tries and {{.Report.Attempts}} attempts, {{f3 .Report.Crossed}} crossings and {{f3 .Report.Probes}} probes a call, {{pct .Report.Waste}} of the work wasted, {{.Report.Refused}} tries refused.
 Workers left out wrongly for {{f1 .Report.Belief.LeftOut}} worker-seconds and used while unable for {{f1 .Report.Belief.Missed}}, of {{f1 .Report.Belief.Judged}} that can be judged.
 The laboratory used {{f3 .Lateness.OwnCPU}} cores, all cores were {{pct .Lateness.BusyCPU}} busy, its timers {{f1 .Lateness.TimerP99}} ms late (p99).</p>
 <table><tr><th>class</th><th>calls</th><th>in time</th><th>late</th><th>not served</th><th>worth</th><th>p50 ms</th><th>p90</th><th>p99</th><th>max</th></tr>
--- a/internal/lab/report/text.go
+++ b/internal/lab/report/text.go
@@ -68,7 +68,7 @@
 	}
 	t.Flush()
 	fmt.Fprintf(w, "worth %.3f, worst 10 s %.3f (from %.0f s), worst class %.3f; figure %.3f\n", r.Worth, r.Worst, r.WorstAt, r.WorstClass, r.G)
-	fmt.Fprintf(w, "tries %d, delegations %d, crossing %.3f a call, probes %.3f a call, waste %.3f of the work, refused %d (%d with a time), turned away %d\n",
+	fmt.Fprintf(w, "tries %d, attempts %d, crossing %.3f a call, probes %.3f a call, waste %.3f of the work, refused %d (%d with a time), turned away %d\n",
 		r.Tries, r.Attempts, r.Crossed, r.Probes, r.Waste, r.Refused, r.Advised, r.TurnedAway)
 	fmt.Fprintf(w, "belief: workers left out wrongly for %.0f worker-seconds, used while unable for %.0f, of %.0f judged\n",
 		r.Belief.LeftOut, r.Belief.Missed, r.Belief.Judged)
--- a/internal/lab/stage/worker_conn.go
+++ b/internal/lab/stage/worker_conn.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// exchange is one delegation or probe on a connection.
+// exchange is one attempt or probe on a connection.
 type exchange struct {
 	serial   int64
 	conn     *workerConn
--- a/internal/lab/stage/wrong_test.go
+++ b/internal/lab/stage/wrong_test.go
@@ -155,7 +155,7 @@
 	return name, x.workers[name]
 }
 
-// send makes one delegation. status 0 stands for no answer, -1 for no connection.
+// send makes one attempt. status 0 stands for no answer, -1 for no connection.
 func (x *wrong) send(q *http.Request, body, addr string, wait time.Duration) (status int, answer string, unrun bool) {
 	c, err := net.DialTimeout("tcp", addr, 250*time.Millisecond)
 	if err != nil {
--- a/internal/program/cost_test.go
+++ b/internal/program/cost_test.go
@@ -11,7 +11,7 @@
 )
 
 // BenchmarkCost is the processor time that a sidecar alone, in a process of its own, takes for a call: one that is
-// carried, one that the acceptor answers itself on a kept connection (of a class that does not exist: it takes the way
+// carried, one that the server answers itself on a kept connection (of a class that does not exist: it takes the way
 // of a refusal), and one that is refused on a new connection because the table is full.
 func BenchmarkCost(b *testing.B) {
 	for _, test := range []struct {
--- a/internal/program/deployment_test.go
+++ b/internal/program/deployment_test.go
@@ -167,7 +167,7 @@
 			a expect 504
 			operator send STATS
 			operator expect {"success":{"availability":0,"booking":0,"paid-extra":0},"busy":{"availability":0,"booking":0,"paid-extra":0},"failure":{"availability":0,"booking":1,"paid-extra":0},"backend_calls":2,"inflight":1,"hosts_listed":2,"hosts_down":0,"list_age_ms":T} | --`},
-		// Where copies are not allowed the first delegation's connection is closed before another goes out.
+		// Where copies are not allowed the first attempt's connection is closed before another goes out.
 		"copies off": {set: `"aim_us":600000=>"aim_us":3000000`, known: "0=up", script: copied + `
 			w2 wait
 			w3 send 200 two
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -181,12 +181,12 @@
 		worth[i] = k.Worth
 		longest = max(longest, k.Deadline)
 	}
-	acceptor := &protocol.Acceptor{Handler: router, Classes: c.Names.Classes, Worth: worth, Longest: longest, Advice: advice,
+	server := &protocol.Server{Handler: router, Classes: c.Names.Classes, Worth: worth, Longest: longest, Advice: advice,
 		Draining: draining, Closing: closing, Held: &s.held, Figures: figures, Origins: s.origins, Log: s.log, Invariants: invariants}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		s.listener.Accept(acceptor.Serve, func(err error) { s.log.Warn("accept_failed", "err", err) })
+		s.listener.Accept(server.Serve, func(err error) { s.log.Warn("accept_failed", "err", err) })
 	}()
 	var ending atomic.Bool
 	doorDone := make(chan struct{})
--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -66,7 +66,7 @@
 			w1 expect POST /booking/x id=t1 body=b
 			a expect 504
 			w1 wait`},
-		// The client is gone: its delegation is called off, and others are served on.
+		// The client is gone: its attempt is called off, and others are served on.
 		"client leaves": {known: "0=up", script: `
 			a send GET /availability/x id=t1 expires=3000m
 			w1 expect GET /availability/x id=t1
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -104,7 +104,7 @@
 }
 
 // steering tells that clients are to go elsewhere: the sidecar ends, or the operators have drained it.
-func (a *Acceptor) steering() bool { return a.Draining.Err() != nil || a.Held != nil && a.Held.Load() }
+func (s *Server) steering() bool { return s.Draining.Err() != nil || s.Held != nil && s.Held.Load() }
 
 // answer writes a call's one final answer.
 func (c *client) answer(a Answer) {
@@ -199,7 +199,7 @@
 			reply.Rest.Close(err == nil && reply.reuse)
 			return err == nil
 		}
-		reply.Rest.ReadBy(c.endBefore(latest(end, time.Now().Add(relayStall))))
+		reply.Rest.ReadBy(c.endBefore(transport.Latest(end, time.Now().Add(relayStall))))
 		n, err := reply.rest.Read(buf)
 		if err != nil && err != io.EOF {
 			c.closing, c.broken = true, true
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -28,17 +28,17 @@
 type Upload interface {
 	Whole() <-chan struct{} // closed when its last byte has been read
 	End() time.Time         // when the client gives up if the rest has come unseen; moves on while it still sends
-	Begun() bool            // some of it has been read: a further delegation could not send it again
+	Begun() bool            // some of it has been read: a further attempt could not send it again
 }
 
-// Message is what a delegation carries to a worker.
+// Message is what an attempt carries to a worker.
 type Message interface {
-	// Encode returns the message for one delegation, which will be waited for no longer than remaining. It is called
-	// when the message is about to be written, on any goroutine, and not once the delegation has ended. The slices are
-	// used until the delegation ends.
+	// Encode returns the message for one attempt, which will be waited for no longer than remaining. It is called
+	// when the message is about to be written, on any goroutine, and not once the attempt has ended. The slices are
+	// used until the attempt ends.
 	Encode(worker string, remaining time.Duration) [][]byte
 	// Rest returns what writes the rest of the message after that, nil where Encode gives all. It can be called once for
-	// each delegation; what it returns works for one of them alone.
+	// each attempt; what it returns works for one of them alone.
 	Rest() func(transport.Write) error
 }
 
@@ -65,7 +65,7 @@
 	Written func()        // called where all of it has been written to the client, on the goroutine that has; nil: nobody asks
 }
 
-// Kind is what a worker's reply says of the delegation.
+// Kind is what a worker's reply says of the attempt.
 type Kind uint8
 
 // The kinds of reply.
@@ -75,7 +75,7 @@
 	ReplyFull        // it never ran
 )
 
-// Reply is a worker's answer, whole, or its beginning where its delegation's Result has a Rest. Header is in the form of
+// Reply is a worker's answer, whole, or its beginning where its attempt's Result has a Rest. Header is in the form of
 // the protocol that read it.
 type Reply struct {
 	Kind   Kind
--- a/internal/protocol/figures.go
+++ b/internal/protocol/figures.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 )
 
-// Figures counts answers as the acceptor writes them, for each class, and attempts as they are written whole to
+// Figures counts answers as the server writes them, for each class, and attempts as they are written whole to
 // workers. Every count is an atomic: nothing on a call's path waits for them. They begin at 0 with the process.
 type Figures struct {
 	Success, Busy, Failure []atomic.Int64 // 200; refusals (503, 429, 410); 502 and 504, by class
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -16,7 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// parseRequest reads one request as the acceptor does, from a connection that gives a byte at a time.
+// parseRequest reads one request as the server does, from a connection that gives a byte at a time.
 func parseRequest(text string) (h head, body string, err error) {
 	r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), maxHead)
 	if err = readHead(r, &h); err == nil {
--- a/internal/protocol/acceptor.go
+++ b/internal/protocol/server.go
@@ -44,8 +44,8 @@
 	maxExpires   = time.Hour               // a longer wait is held to be garbage
 )
 
-// Acceptor serves clients over HTTP/1.1: it reads their calls, hands them to the handler, writes the answers.
-type Acceptor struct {
+// Server serves clients over HTTP/1.1: it reads their calls, hands them to the handler, writes the answers.
+type Server struct {
 	Handler  Handler
 	Classes  []string        // class names; a class is its position
 	Worth    []float64       // of a call of each class, by which calls are refused where the processor is short; nil for all alike
@@ -68,7 +68,7 @@
 
 // client is one client's connection.
 type client struct {
-	*Acceptor
+	*Server
 	*transport.Client
 	in      source        // what r reads from
 	small   *bufio.Reader // of the size of a head
@@ -95,11 +95,11 @@
 
 // Serve reads and answers one call after another until the connection is to end, and ends it in order. The listener closes
 // it when Serve returns.
-func (a *Acceptor) Serve(conn *transport.Client) {
-	c := &client{Acceptor: a, Client: conn, in: source{conn: conn}}
+func (s *Server) Serve(conn *transport.Client) {
+	c := &client{Server: s, Client: conn, in: source{conn: conn}}
 	c.small = bufio.NewReaderSize(&c.in, maxHead)
 	c.r = c.small
-	stop := context.AfterFunc(a.Closing, conn.EndRest)
+	stop := context.AfterFunc(s.Closing, conn.EndRest)
 	defer stop()
 	c.run()
 	c.finish()
@@ -107,7 +107,7 @@
 
 // run reads and answers one call after another.
 func (c *client) run() {
-	a := c.Acceptor
+	server := c.Server
 	for !c.closing {
 		if !c.await() {
 			return
@@ -125,16 +125,16 @@
 		case c.Crowded:
 			c.closing = true
 			c.refuse(call)
-		case a.late.presses.Load() && !c.presence().here(): // nobody waits for it any more
+		case server.late.presses.Load() && !c.presence().here(): // nobody waits for it any more
 			return
-		case a.late.refuses(call.Class, a.Worth) || call.Budget <= 0 && c.waited():
-			a.tellLate()
+		case server.late.refuses(call.Class, server.Worth) || call.Budget <= 0 && c.waited():
+			server.tellLate()
 			c.refuse(call)
-		case !a.traces.take(c.head.get(headerTrace), c.started, a.Longest):
+		case !server.traces.take(c.head.get(headerTrace), c.started, server.Longest):
 			c.reject(&failure{409, "the id of another call"})
 		default:
 			c.serve(call)
-			a.traces.end(c.head.get(headerTrace), time.Now(), a.Longest)
+			server.traces.end(c.head.get(headerTrace), time.Now(), server.Longest)
 		}
 		if cap(c.body) > maxHead {
 			c.body = nil // large bodies are rare; an idle connection holds no memory for them
@@ -148,7 +148,7 @@
 	now := time.Now()
 	phase, until, limit := transport.Resting, now.Add(idleTime), readTime
 	if !c.asked { // who connects and says nothing, or half of something, is owed an end in 3 s altogether
-		phase, until = transport.Silent, latest(c.Begun().Add(silentTime), now.Add(leastSilent))
+		phase, until = transport.Silent, transport.Latest(c.Begun().Add(silentTime), now.Add(leastSilent))
 		limit = max(readTime-now.Sub(c.Begun()), leastRead)
 		c.asked = true
 	}
@@ -172,14 +172,6 @@
 	c.Receive(transport.Stage{Stall: stallTime, Until: time.Now().Add(limit)})
 }
 
-// latest is the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // read reads one call whole. It returns nil for a health check.
 func (c *client) read() (*Call, error) {
 	c.closing = true // until the message has been read whole, nothing can follow it
@@ -315,9 +307,9 @@
 }
 
 // tellLate logs that calls are refused for the process's own lateness.
-func (a *Acceptor) tellLate() {
-	if held, ok := a.refused.due(time.Now()); ok {
-		a.Log.Warn("processor_short", "late", a.late.standing().Round(time.Millisecond), "more", held)
+func (s *Server) tellLate() {
+	if held, ok := s.refused.due(time.Now()); ok {
+		s.Log.Warn("processor_short", "late", s.late.standing().Round(time.Millisecond), "more", held)
 	}
 }
 
--- a/internal/protocol/time.go
+++ b/internal/protocol/time.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"burlpass/internal/invariant"
+	"burlpass/internal/transport"
 )
 
 const (
@@ -41,7 +42,7 @@
 	if !isTimeout(err) {
 		return
 	}
-	stopped := latest(c.LastByte(), c.settled)
+	stopped := transport.Latest(c.LastByte(), c.settled)
 	if since := time.Since(stopped); since > stoppedOwed {
 		c.Invariants.Broken(invariant.StoppedClientEnded, string(c.head.get(headerTrace)), "stage", c.stage, "since_last_byte", since)
 	}
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -39,7 +39,7 @@
 
 	mu      sync.Mutex
 	since   time.Time     // when the last byte had certainly not come yet
-	taken   bool          // a delegation reads it, or has
+	taken   bool          // an attempt reads it, or has
 	stopped bool          // no further read may begin
 	whole   chan struct{} // closed when the last byte has come
 	failed  chan struct{} // closed where the client has broken off, stalled or sent garbage
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -81,8 +81,8 @@
 	Reply *Reply
 }
 
-// Return is where a delegation's Result goes, and the tag that it bears there. The zero value leaves it to the
-// delegation's own Done; a channel that several share needs room for all of them.
+// Return is where an attempt's Result goes, and the tag that it bears there. The zero value leaves it to the
+// attempt's own Done; a channel that several share needs room for all of them.
 type Return struct {
 	To  chan transport.Result
 	Tag int
@@ -108,7 +108,7 @@
 	})}
 }
 
-// Revoked is a delegation that has ended before it began, for the given reason.
+// Revoked is an attempt that has ended before it began, for the given reason.
 func Revoked(err error, back Return) Delegation {
 	return Delegation{Reply: &Reply{}, Attempt: transport.Refused(transport.Exchange{Tag: back.Tag, Done: back.To}, err)}
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -17,12 +17,12 @@
 	call   *protocol.Call
 	end    time.Time // when the client gives up
 	orders chan order
-	tries  int         // delegations so far
+	tries  int         // attempts so far
 	gone   atomic.Bool // the client has left: nothing new may go out
 
 	terms Terms         // what the gate said, once
 	less  time.Duration // that the terms take of the client's time
-	ran   bool          // a delegation has ended that may have run
+	ran   bool          // an attempt has ended that may have run
 	first firstRun      // the earliest of those
 }
 
@@ -45,8 +45,8 @@
 	}
 }
 
-// delegation is a call's attempt at a worker.
-type delegation struct {
+// attempt is one send of a request to a backend.
+type attempt struct {
 	protocol.Delegation
 	try      int
 	worker   decide.ServerID
@@ -68,7 +68,7 @@
 // one at the end; that it should not is a fault, and the client is answered all the same.
 const overtime = 20 * time.Millisecond
 
-// copies is how many delegations of a call may be out together.
+// copies is how many attempts of a call may be out together.
 func (r *Router) copies() int {
 	if r.Decide.Limits.SecondCopies {
 		return min(max(r.Decide.Limits.MaxAttempts, 1), maxTries)
@@ -92,11 +92,11 @@
 	defer r.leave(t)
 	overdue := time.NewTimer(call.Budget + overtime)
 	defer overdue.Stop()
-	timeout := time.NewTimer(call.Budget) // the next end of a delegation's time
+	timeout := time.NewTimer(call.Budget) // the next end of an attempt's time
 	defer timeout.Stop()
 
 	copies := r.copies()
-	out := make([]*delegation, 0, 2)               // the delegations that are out
+	out := make([]*attempt, 0, 2)                  // the attempts that are out
 	results := make(chan transport.Result, copies) // theirs; there is room for all, so that none waits
 	var final *protocol.Answer                     // the answer, once chosen
 	left, ending := call.Left, r.ending
@@ -107,14 +107,14 @@
 	leave := func() {
 		left = nil
 		t.gone.Store(true)
-		r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the delegations off
+		r.tell(decide.Event{Kind: decide.Left, ID: t.id}) // the module may call the attempts off
 	}
 	for {
 		select {
 		case a := <-t.orders:
 			switch {
 			case a.Kind == decide.Send && len(out) < copies && final == nil && t.again(len(out)) && r.lawful(t, out, a):
-				d := r.delegate(t, a, results)
+				d := r.startAttempt(t, a, results)
 				out = append(out, d)
 				if a.Timeout != 0 || !d.begun.Before(d.end) { // else the call's own end, which it is set to
 					timeout.Reset(time.Until(earliest(out)))
@@ -123,7 +123,7 @@
 				if len(out) == 0 && final == nil {
 					final = t.exhausted()
 				}
-				r.tell(t.outcome(&delegation{try: t.tries, worker: a.Server}, decide.Moot, final != nil))
+				r.tell(t.outcome(&attempt{try: t.tries, worker: a.Server}, decide.Moot, final != nil))
 				t.tries++
 			case a.Kind == decide.Cancel && (left == nil || t.again(0) && !t.terms.Once): // else it is called off to be sent again
 				for _, d := range out {
@@ -144,7 +144,7 @@
 			}
 
 		case result := <-results:
-			at := slices.IndexFunc(out, func(d *delegation) bool { return d.try == result.Tag })
+			at := slices.IndexFunc(out, func(d *attempt) bool { return d.try == result.Tag })
 			d := out[at]
 			out = slices.Delete(out, at, at+1)
 			if left != nil && t.gone.Load() { // seen right before the first byte
@@ -198,7 +198,7 @@
 				overdue.Reset(time.Until(t.end) + overtime)
 				continue
 			}
-			r.Log.Error("call_overdue", "call", t.id, "delegations", t.tries)
+			r.Log.Error("call_overdue", "call", t.id, "attempts", t.tries)
 			final = r.giveUp(t, out)
 
 		case <-ending:
@@ -217,14 +217,14 @@
 }
 
 // giveUp ends a call without asking the module, which is told that it is over.
-func (r *Router) giveUp(t *task, out []*delegation) *protocol.Answer {
+func (r *Router) giveUp(t *task, out []*attempt) *protocol.Answer {
 	r.tell(decide.Event{Kind: decide.Left, ID: t.id})
 	abort(out)
 	return &protocol.Answer{Verdict: protocol.Expired}
 }
 
 // extend moves the end of a call whose client still sends.
-func (t *task) extend(out []*delegation) {
+func (t *task) extend(out []*attempt) {
 	if t.call.Upload == nil {
 		return
 	}
@@ -234,15 +234,15 @@
 	}
 }
 
-// abort calls delegations off. Their connections are closed when it returns, and their results are there.
-func abort(out []*delegation) {
+// abort calls attempts off. Their connections are closed when it returns, and their results are there.
+func abort(out []*attempt) {
 	for _, d := range out {
 		d.Abort()
 	}
 }
 
-// earliest is the next end of a delegation's time, the zero time where none is out.
-func earliest(out []*delegation) (at time.Time) {
+// earliest is the next end of an attempt's time, the zero time where none is out.
+func earliest(out []*attempt) (at time.Time) {
 	for _, d := range out {
 		if !d.expired && (at.IsZero() || d.end.Before(at)) {
 			at = d.end
@@ -272,10 +272,10 @@
 	delete(r.calls, t.id)
 }
 
-// delegate sends a call to the worker that the module chose. Its result goes to results, under its number.
-func (r *Router) delegate(t *task, o order, results chan transport.Result) *delegation {
+// startAttempt sends a request to the backend that the module chose. Its result goes to results, under its number.
+func (r *Router) startAttempt(t *task, o order, results chan transport.Result) *attempt {
 	now := time.Now()
-	d := &delegation{try: t.tries, worker: o.Server, begun: now, end: t.end, router: r, task: t, order: o}
+	d := &attempt{try: t.tries, worker: o.Server, begun: now, end: t.end, router: r, task: t, order: o}
 	if at := now.Add(o.Timeout); o.Timeout != 0 && at.Before(t.end) {
 		d.end = at
 	}
@@ -298,8 +298,8 @@
 	return !t.gone.Load()
 }
 
-// outcome is the module's event for how a delegation ended.
-func (t *task) outcome(d *delegation, status decide.Status, over bool) decide.Event {
+// outcome is the module's event for how an attempt ended.
+func (t *task) outcome(d *attempt, status decide.Status, over bool) decide.Event {
 	e := decide.Event{Kind: decide.Outcome, ID: t.id, Attempt: d.try, Server: d.worker, Status: status, Done: over}
 	if d.Reply != nil && status != decide.Moot {
 		e.Latency = time.Since(d.begun)
@@ -311,16 +311,16 @@
 	return e
 }
 
-// status says how a delegation ended. One that was dropped because its client had left says nothing of the
+// status says how an attempt ended. One that was dropped because its client had left says nothing of the
 // worker, and must not be held against it.
-func (d *delegation) status(result transport.Result, gone bool) decide.Status {
+func (a *attempt) status(result transport.Result, gone bool) decide.Status {
 	if gone && !result.Sent {
 		return decide.Moot
 	}
 	if result.Err != nil {
-		return failed(result, d.expired)
+		return failed(result, a.expired)
 	}
-	switch d.Reply.Kind {
+	switch a.Reply.Kind {
 	case protocol.ReplyServed:
 		return decide.OK
 	case protocol.ReplyFull:
--- a/internal/routing/gate.go
+++ b/internal/routing/gate.go
@@ -20,8 +20,8 @@
 	// left out or held down as the settings say. Its Header stands, that below is not added.
 	Refusal *protocol.Answer
 
-	Attempts int           // delegations at most; 0: nothing is said
-	Once     bool          // no further delegation unless it is sure that none before it ran
+	Attempts int           // attempts at most; 0: nothing is said
+	Once     bool          // no further attempt unless it is sure that none before it ran
 	Deadline time.Duration // for the whole call; 0: nothing is said
 	Header   string        // whole header lines for the final answer, each with its line's end; the gate has checked them
 
@@ -59,7 +59,7 @@
 	}
 }
 
-// again tells whether the terms allow a further delegation beside those that are out.
+// again tells whether the terms allow a further attempt beside those that are out.
 func (t *task) again(out int) bool {
 	if t.terms.Attempts > 0 && t.tries >= t.terms.Attempts {
 		return false
@@ -75,7 +75,7 @@
 	return &protocol.Answer{Verdict: protocol.Refused}
 }
 
-// mayHaveRun tells what a delegation's outcome leaves open.
+// mayHaveRun tells what an attempt's outcome leaves open.
 func mayHaveRun(s decide.Status) bool {
 	return s != decide.Full && s != decide.ConnectFailed && s != decide.Moot
 }
--- a/internal/routing/guard.go
+++ b/internal/routing/guard.go
@@ -21,7 +21,7 @@
 }
 
 // note takes in an attempt that may have run.
-func (f *firstRun) note(d *delegation) {
+func (f *firstRun) note(d *attempt) {
 	if f.begun.IsZero() || d.begun.Before(f.begun) {
 		*f = firstRun{d.begun, d.order.zone, d.order.cell}
 	}
@@ -44,7 +44,7 @@
 }
 
 // lawful tells whether the rules on repeats allow what the module has ordered. What is out already may have run.
-func (r *Router) lawful(t *task, out []*delegation, o order) bool {
+func (r *Router) lawful(t *task, out []*attempt, o order) bool {
 	first := t.first
 	for _, d := range out {
 		first.note(d)
@@ -58,25 +58,25 @@
 
 // Ready tells, right before the attempt's first byte, that it may still go out: its client's time is not over, its backend is
 // listed up and is the process that was chosen, it is not too late for a repeat, and its client is there.
-func (d *delegation) Ready() bool {
-	long := d.task.call.Upload != nil // its end moves on while it comes
-	return (long || time.Now().Before(d.deadline)) && d.router.may(d.order) && d.task.present()
+func (a *attempt) Ready() bool {
+	long := a.task.call.Upload != nil // its end moves on while it comes
+	return (long || time.Now().Before(a.deadline)) && a.router.may(a.order) && a.task.present()
 }
 
 // Began checks an attempt whose first byte went out so long after Ready. What Ready saw then may not hold any more.
-func (d *delegation) Began(after time.Duration) {
-	r, t := d.router, d.task
-	known := []any{"attempt", d.try, "after", after}
+func (a *attempt) Began(after time.Duration) {
+	r, t := a.router, a.task
+	known := []any{"attempt", a.try, "after", after}
 	if !t.present() {
 		r.Invariants.Broken(invariant.ClientPresent, string(t.call.ID), known...)
 	}
-	if !r.may(d.order) && after > r.Decide.Safety.DrainGrace {
+	if !r.may(a.order) && after > r.Decide.Safety.DrainGrace {
 		r.Invariants.Broken(invariant.BackendListed, string(t.call.ID), known...)
 	}
 	if t.call.Upload != nil {
 		return
 	}
-	if late := time.Since(d.deadline); late > r.Decide.Safety.AnswerSlack {
+	if late := time.Since(a.deadline); late > r.Decide.Safety.AnswerSlack {
 		r.Invariants.Broken(invariant.WithinDeadline, string(t.call.ID), append(known, "late", late)...)
 	}
 	if after > toldSlack {
@@ -96,4 +96,4 @@
 // Began is of no interest: a probe has no client, and a late one does no harm.
 func (probeGuard) Began(time.Duration) {}
 
-var _ transport.Guard = (*delegation)(nil)
+var _ transport.Guard = (*attempt)(nil)
--- a/internal/routing/guard_test.go
+++ b/internal/routing/guard_test.go
@@ -85,28 +85,28 @@
 func TestLateStart(t *testing.T) {
 	for name, test := range map[string]struct {
 		after  time.Duration
-		change func(w *town, t *task, d *delegation)
+		change func(w *town, t *task, d *attempt)
 		want   []invariant.Rule
 	}{
-		"nothing has changed": {120 * time.Millisecond, func(*town, *task, *delegation) {}, nil},
-		"its client has left": {120 * time.Millisecond, func(_ *town, t *task, _ *delegation) { t.gone.Store(true) }, []invariant.Rule{invariant.ClientPresent}},
-		"its backend drains, in the grace": {120 * time.Millisecond, func(w *town, _ *task, _ *delegation) {
+		"nothing has changed": {120 * time.Millisecond, func(*town, *task, *attempt) {}, nil},
+		"its client has left": {120 * time.Millisecond, func(_ *town, t *task, _ *attempt) { t.gone.Store(true) }, []invariant.Rule{invariant.ClientPresent}},
+		"its backend drains, in the grace": {120 * time.Millisecond, func(w *town, _ *task, _ *attempt) {
 			w.learn(w.source, w.list(2), decide.ListFull)
 		}, nil},
-		"its backend drains, after the grace": {time.Second, func(w *town, _ *task, _ *delegation) {
+		"its backend drains, after the grace": {time.Second, func(w *town, _ *task, _ *attempt) {
 			w.learn(w.source, w.list(2), decide.ListFull)
 		}, []invariant.Rule{invariant.BackendListed, invariant.DeadlineTold}},
-		"its time is over": {120 * time.Millisecond, func(_ *town, _ *task, d *delegation) {
+		"its time is over": {120 * time.Millisecond, func(_ *town, _ *task, d *attempt) {
 			d.deadline = time.Now().Add(-time.Second)
 		}, []invariant.Rule{invariant.WithinDeadline}},
-		"it was told too much time": {200 * time.Millisecond, func(*town, *task, *delegation) {}, []invariant.Rule{invariant.DeadlineTold}},
+		"it was told too much time": {200 * time.Millisecond, func(*town, *task, *attempt) {}, []invariant.Rule{invariant.DeadlineTold}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newTown(t, decide.Class{}, 0)
 			w.Invariants = invariant.NewMonitor(logging.Discard())
 			w.Decide.Safety.DrainGrace = 750 * time.Millisecond
 			request := &task{call: &protocol.Call{ID: []byte("t1")}}
-			d := &delegation{router: w.Router, task: request, deadline: time.Now().Add(time.Minute),
+			d := &attempt{router: w.Router, task: request, deadline: time.Now().Add(time.Minute),
 				order: order{Action: decide.Action{Server: 1}, peer: w.worker(1).peer}}
 			if !d.Ready() {
 				t.Fatal("not ready before the change")
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -40,7 +40,7 @@
 		"worker left the list":         {result: transport.Result{Err: transport.ErrRevoked}, want: decide.Moot},
 		"client left while connecting": {result: transport.Result{Err: transport.ErrRevoked}, gone: true, want: decide.Moot},
 	} {
-		d := delegation{expired: test.expired}
+		d := attempt{expired: test.expired}
 		d.Reply = &protocol.Reply{Kind: test.kind}
 		if got := d.status(test.result, test.gone); got != test.want {
 			t.Errorf("%s: got %d, want %d", name, got, test.want)
@@ -48,7 +48,7 @@
 	}
 }
 
-// The list that a delegation is checked against: a late answer brings no drained worker back, a restart or a
+// The list that an attempt is checked against: a late answer brings no drained worker back, a restart or a
 // new address is another worker, and nothing is kept of one that has gone.
 func TestLists(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/routing/told_test.go
+++ b/internal/routing/told_test.go
@@ -229,7 +229,7 @@
 	one.StartedMs = time.Now().UnixMilli()
 	w.learn(w.source, w.list(2, one), decide.ListFull)
 	results := make(chan transport.Result, 1)
-	d := w.delegate(request, <-request.orders, results)
+	d := w.startAttempt(request, <-request.orders, results)
 	untouched(t, kept)
 	untouched(t, within(t, w.accepted[0]))
 	d.Abort() // changes nothing where it has ended
@@ -303,7 +303,7 @@
 	w.enter(request)
 	request.end = time.Now()
 	results := make(chan transport.Result, 1)
-	d := w.delegate(request, <-request.orders, results)
+	d := w.startAttempt(request, <-request.orders, results)
 	untouched(t, within(t, w.accepted[0]))
 	d.Abort() // changes nothing where it has ended
 	if r := <-results; r.Sent {
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -1,4 +1,4 @@
-// Package sim plays whole days on virtual time: the real acceptor, router, pool, parsers and decision module on a
+// Package sim plays whole days on virtual time: the real server, router, pool, parsers and decision module on a
 // network in memory, against the laboratory's world, with the laboratory's judge after each step. A day is drawn from
 // its seed; the same seed gives the same day, byte for byte of its trace.
 package sim
--- a/internal/sim/shrink.go
+++ b/internal/sim/shrink.go
@@ -18,7 +18,7 @@
 
 // Summary is a day in a line, with what it broke on further ones.
 func (o *Outcome) Summary() string {
-	text := fmt.Sprintf("seed %d: %d calls, %d delegations, worth %.3f, %v, trace %s of %d lines", o.Seed, o.Calls, o.Attempts, o.Worth,
+	text := fmt.Sprintf("seed %d: %d calls, %d attempts, worth %.3f, %v, trace %s of %d lines", o.Seed, o.Calls, o.Attempts, o.Worth,
 		o.Played.Round(time.Millisecond), o.Hash, o.Events)
 	for _, v := range o.Violations {
 		text += "\n  BROKEN " + v.String()
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -118,7 +118,7 @@
 // quietSince is since when a connection has given no sign of going on. It is called under the lock.
 func (c *Client) quietSince() time.Time {
 	if c.phase == Reading {
-		return later(c.since, c.LastByte())
+		return Latest(c.since, c.LastByte())
 	}
 	return c.since
 }
--- a/internal/transport/deadline.go
+++ b/internal/transport/deadline.go
@@ -175,8 +175,8 @@
 	return a
 }
 
-// later is the later of two times.
-func later(a, b time.Time) time.Time {
+// Latest is the later of two times.
+func Latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -153,7 +153,7 @@
 		if now.Sub(asked) >= atOnce {
 			empty = now
 		}
-		begun := later(empty, now.Add(-longestQueued))
+		begun := Latest(empty, now.Add(-longestQueued))
 		c := &Client{deadlines: deadlines{conn: conn, begun: begun}, socket: AsSocket(conn), listener: l}
 		l.takeSlot()
 		l.join(c)
