Clients that have come by the end of the drain are accepted before listening ends

Class: a debt with no owner at an end. Change: Listener.Stop has Accept go on until the queue is empty, also over failures, and by the exit's bound at the latest; resting connections end after that. An observer that follows the leader now also looks at members that others name; its test comes with it.

--- a/internal/cluster/observer/look.go
+++ b/internal/cluster/observer/look.go
@@ -26,12 +26,16 @@
 	depth int // 0: configured
 }
 
-// look asks members until one takes this observer in and is not cut off itself. Those that are configured come first, in an
-// order of this observer's own, then those that they name; the leader, whose work must not grow with the fleet, comes when
-// all else has failed. Where all are cut off it gives the one that was so last: another round may find better. The error is
-// why the last one was not it.
-func (o *Observer) look(ctx context.Context) (candidate, error) {
-	asked := map[string]bool{o.c.Name: true}
+// look asks members until one takes this observer in and is not cut off itself. The leader, whose work must not grow with
+// the fleet, comes when all else has failed. Where all are cut off it gives the one that was so last: another round may find
+// better. The error is why the last one was not it.
+func (o *Observer) look(ctx context.Context) (candidate, error) { return o.search(ctx, "") }
+
+// search is look; from a leader that is followed it looks for another member alone, and takes none that is cut off. Those
+// that are configured come first, in an order of this observer's own, then those that they name.
+func (o *Observer) search(ctx context.Context, leader string) (candidate, error) {
+	besides := leader != ""
+	asked := map[string]bool{o.c.Name: true, leader: true}
 	var queue, leaders []candidate
 	var least answer // of those that are cut off
 	var stale candidate
@@ -49,9 +53,9 @@
 				continue
 			}
 			asked[next.Name] = true
-		case len(leaders) > 0:
+		case len(leaders) > 0 && !besides:
 			next, leaders = leaders[0], leaders[1:]
-		case least.Batch != nil:
+		case least.Batch != nil && !besides:
 			return stale, nil
 		default:
 			return candidate{}, err
@@ -91,20 +95,14 @@
 	return candidate{}, ctx.Err()
 }
 
-// besides goes over from the leader to another configured source, if one takes this observer in.
+// besides goes over from the leader to another member, if one takes this observer in: a configured one, or one that such a
+// member names. At a fleet's start those are often not ready yet.
 func (o *Observer) besides(ctx context.Context, leader candidate) (candidate, bool) {
-	for _, s := range o.order(o.c.Sources, 0) {
-		if s.Name == leader.Name {
-			continue
-		}
-		next := candidate{s, 0}
-		b, err := o.ask(ctx, next, 0, true)
-		if err == nil && !o.stale(b) && o.take(ctx, s, b) == nil {
-			o.attached(s, b)
-			return next, true
-		}
+	next, err := o.search(ctx, leader.Name)
+	if err != nil {
+		return leader, false
 	}
-	return leader, false
+	return next, true
 }
 
 // order sorts members by rendezvous hashing, so that each observer has its own order and all of them together spread evenly;
--- a/internal/cluster/observer/observer_test.go
+++ b/internal/cluster/observer/observer_test.go
@@ -218,6 +218,38 @@
 	until(t, "the leader is left again", func() bool { return first.Status().Path[0] == "b" })
 }
 
+// TestLeaderIsLeftForWhoWasNotReady has an observer ask while its only other source is full and the follower that this one names
+// answers nothing yet, as at a fleet's start: it follows the leader, and leaves it once that follower answers.
+func TestLeaderIsLeftForWhoWasNotReady(t *testing.T) {
+	a := apitest.NewVoter("a", 0)
+	b := &apitest.Voter{Name: "b", Cluster: a.Cluster, State: a.State}
+	addrA, _ := apitest.Serve(t, a.Handler(api.Options{}))
+	addrB, _ := apitest.Serve(t, b.Handler(api.Options{Followers: 1}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	follower := start(t, Config{Name: "follower", Addr: l.Addr().String(), Sources: []Source{{Name: "b", Addr: addrB}}})
+	handler := api.Handler(follower, api.Options{})
+	var ready atomic.Bool
+	apitest.ServeOn(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !ready.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	reaches(t, follower, 0)
+	o := start(t, Config{Sources: []Source{{Name: "a", Addr: addrA}, {Name: "b", Addr: addrB}},
+		Timings: Timings{Wait: 20 * time.Millisecond, Silence: 500 * time.Millisecond, Aside: time.Millisecond}})
+	reaches(t, o, 0)
+	if path := o.Status().Path; !slices.Equal(path, []string{"a", "o"}) {
+		t.Fatalf("the path is %v, past the leader is expected", path)
+	}
+	ready.Store(true)
+	until(t, "the leader is left", func() bool { return slices.Equal(o.Status().Path, []string{"b", "follower", "o"}) })
+}
+
 func TestCutOffShowsWhatItHasWithItsAge(t *testing.T) {
 	v := apitest.NewVoter("a", 0)
 	v.Add(t, 3)
--- a/internal/lab/faultnet/faultnet.go
+++ b/internal/lab/faultnet/faultnet.go
@@ -120,6 +120,11 @@
 	return &client{transport.AsSocket(c), l.network}, nil
 }
 
+// SetDeadline sets when Accept returns.
+func (l *listener) SetDeadline(t time.Time) error {
+	return l.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(t)
+}
+
 // client is a client's connection. Its reads may be short; it does not break, for the other side would see nothing of that.
 type client struct {
 	transport.Socket
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -33,6 +33,7 @@
 
 	longestAwaited = 3 * time.Second        // of the settings' longest deadline, for which the platform waits after drainTime
 	exitMargin     = 200 * time.Millisecond // before the platform may kill the process, or half of that deadline
+	closeTime      = time.Second            // for accepting the clients that have come by the end of drainTime, before resting ones end
 	lastAnswers    = 50 * time.Millisecond  // for what is written once the requests have been ended
 )
 
@@ -211,7 +212,11 @@
 	s.listener.EndBy(exitBy.Add(lastAnswers))
 	defer time.AfterFunc(time.Until(exitBy), router.End).Stop()
 	time.Sleep(drainTime)
-	s.listener.Close()
+	s.listener.Stop(exitBy)
+	select {
+	case <-stopped:
+	case <-time.After(min(closeTime, time.Until(exitBy))):
+	}
 	shut()
 	ended := make(chan struct{})
 	go func() {
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,9 @@
 	// atOnce is the time within which a system call returns that had nothing to wait for.
 	atOnce = time.Millisecond
 
+	// sweepTime is how long Accept waits, once it is to stop, before it takes the system's queue to be empty.
+	sweepTime = 5 * time.Millisecond
+
 	// longestQueued bounds the time for which a client is held to have waited in the system's queue.
 	longestQueued = time.Second
 
@@ -107,6 +111,7 @@
 	clients map[*Client]struct{} // all that are connected
 	phases  [Busy]list.List      // of *Client, the one longest in its phase first
 	end     time.Time            // of all connections; zero while it is not known
+	stopBy  time.Time            // set by Stop; zero before
 }
 
 // Listen listens on addr for at most limit connections and a few spare ones, which are served as crowded.
@@ -127,16 +132,20 @@
 // Addr is where it listens.
 func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
 
-// Accept serves connections until Close. At the limit a client without a call makes room for a new one; where
+// Accept serves connections until Close or Stop. At the limit a client without a call makes room for a new one; where
 // none does, further clients are served as crowded, and then wait in the system's queue, up to the next that can make room.
 // A client waits for room in a goroutine of its own: those behind it may be told to come back meanwhile. Failures such as a
 // lack of descriptors pass: failed, unless nil, is told the first of several in a row.
 func (l *Listener) Accept(serve func(c *Client), failed func(error)) {
 	empty := time.Now() // when the system's queue was last known to be empty: who came behind it may have waited since
 	failing := false
-	for {
+	for l.sweep() {
 		asked := time.Now()
 		conn, err := l.ln.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) && l.stops() {
+			l.ln.Close()
+			return
+		}
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -328,8 +337,49 @@
 	return resting.Len()
 }
 
-// Close stops listening; connections go on.
+// Close stops listening at once, and resets the clients that wait in the system's queue; connections go on.
 func (l *Listener) Close() error { return l.ln.Close() }
 
+// Stop has Accept stop listening as soon as no client waits in the system's queue, also where accepting them fails for a
+// moment, and by the given time at the latest. Their requests have been sent, and a close would reset them.
+func (l *Listener) Stop(by time.Time) {
+	l.mu.Lock()
+	l.stopBy = by
+	l.mu.Unlock()
+	if _, ok := l.ln.(acceptDeadline); !ok {
+		l.ln.Close()
+		return
+	}
+	l.sweep()
+}
+
+// acceptDeadline is a listener whose Accept can be told when to return.
+type acceptDeadline interface{ SetDeadline(time.Time) error }
+
+func (l *Listener) stops() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.stopBy.IsZero()
+}
+
+// sweep gives Accept, where it is to stop, a moment more for the system's queue. It closes the listener and returns false
+// when the time for that is over.
+func (l *Listener) sweep() bool {
+	l.mu.Lock()
+	by := l.stopBy
+	l.mu.Unlock()
+	if by.IsZero() {
+		return true
+	}
+	now := time.Now()
+	listener, ok := l.ln.(acceptDeadline)
+	if !ok || !now.Before(by) {
+		l.ln.Close()
+		return false
+	}
+	listener.SetDeadline(now.Add(sweepTime))
+	return true
+}
+
 // Wait returns when the last connection has been served.
 func (l *Listener) Wait() { l.serving.Wait() }
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -128,3 +130,96 @@
 	t.Cleanup(func() { c.Close() })
 	return c
 }
+
+// failingListener is a listener whose Accept fails while it is told to, and takes no connection.
+type failingListener struct {
+	*net.TCPListener
+	fails  atomic.Bool
+	failed chan struct{} // an Accept has failed
+}
+
+func (f *failingListener) Accept() (net.Conn, error) {
+	if f.fails.Load() {
+		select {
+		case f.failed <- struct{}{}:
+		default:
+		}
+		return nil, syscall.ENFILE
+	}
+	return f.TCPListener.Accept()
+}
+
+// Clients that have come by the end are served, also where none could be accepted then; after that nobody gets in.
+func TestStopServesWhoHasCome(t *testing.T) {
+	const (
+		clients = 5
+		long    = 10 * time.Second
+	)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &failingListener{TCPListener: ln.(*net.TCPListener), failed: make(chan struct{}, 1)}
+	f.fails.Store(true)
+	l := Serve(f, 2*clients, 1)
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		l.Accept(func(c *Client) {
+			c.Receive(Stage{Until: time.Now().Add(long)})
+			io.CopyN(c.conn, c, 1)
+		}, nil)
+	}()
+	var conns []net.Conn
+	for range clients {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(long))
+		if _, err := io.WriteString(c, "x"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	<-f.failed
+	l.Stop(time.Now().Add(long))
+	<-f.failed // it still tries
+	f.fails.Store(false)
+	for i, c := range conns {
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Errorf("client %d: %v", i, err)
+		}
+	}
+	<-accepted
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+	l.Wait()
+}
+
+// A listener that can accept nobody ends by its time all the same.
+func TestStopEndsByItsTime(t *testing.T) {
+	const long = 10 * time.Second
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &failingListener{TCPListener: ln.(*net.TCPListener), failed: make(chan struct{}, 1)}
+	f.fails.Store(true)
+	l := Serve(f, 1, 1)
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		l.Accept(func(*Client) {}, nil)
+	}()
+	<-f.failed
+	l.Stop(time.Now())
+	select {
+	case <-accepted:
+	case <-time.After(long):
+		t.Fatal("it goes on")
+	}
+}
