--- a/internal/cluster/observer/observer_test.go
+++ b/internal/cluster/observer/observer_test.go
@@ -82,17 +82,23 @@
 	t.Helper()
 	var all []*Observer
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		o := start(t, Config{Name: "o" + strconv.Itoa(i), Addr: l.Addr().String(), Sources: sources})
-		apitest.ServeOn(t, l, api.Handler(o, api.Options{Followers: places}))
-		all = append(all, o)
+		all = append(all, join(t, "o"+strconv.Itoa(i), places, sources...))
 	}
 	return all
 }
 
+// join starts one of them.
+func join(t *testing.T, name string, places int, sources ...Source) *Observer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := start(t, Config{Name: name, Addr: l.Addr().String(), Sources: sources})
+	apitest.ServeOn(t, l, api.Handler(o, api.Options{Followers: places}))
+	return o
+}
+
 func TestTreeGrowsByItself(t *testing.T) {
 	for _, c := range []struct {
 		name              string
@@ -202,7 +208,8 @@
 	sources := []Source{{Name: "a", Addr: addrA}, {Name: "b", Addr: addrB}}
 	first := start(t, Config{Sources: sources, Timings: Timings{Wait: 100 * time.Millisecond, Silence: 500 * time.Millisecond, Aside: time.Millisecond}})
 	reaches(t, first, 0) // it has one of the follower's three places: else whom it follows decides when it is left
-	for _, o := range fleet(t, 6, 3, sources...) {
+	for i := range 6 {   // one after another: TestLeaderIsLeftForWhoWasNotReady has what else may happen
+		o := join(t, "o"+strconv.Itoa(i), 3, sources...)
 		reaches(t, o, 0)
 		if path := o.Status().Path; path[0] != "b" {
 			t.Errorf("%s has the path %v past the leader's follower", o.c.Name, path)
