--- a/internal/sim/mutant.go
+++ b/internal/sim/mutant.go
@@ -70,14 +70,14 @@
 		one("key-lost", "the idempotency key is not passed on", "internal/protocol/worker.go",
 			"!is(f.name, headerExpires) && !is(f.name, \"Host\")", "!is(f.name, headerExpires) && !is(f.name, \"Host\") && !is(f.name, headerKey)"),
 		one("still-unasked", "nobody asks again before writing", "internal/routing/guard.go",
-			" && d.router.may(d.order) && d.task.present()", ""),
+			" && a.router.may(a.order) && a.task.present()", ""),
 		one("watch-not-renewed", "where lists are pushed the first answer is the last that is heard", "internal/routing/feed.go",
 			"			whole = older //", "			_ = older\n			return //"),
 		{"unsafe-copied", "a second copy of a call that must not run twice goes out", []Edit{
 			{"decide/request.go", "len(r.tries) >= b.c.Limits.MaxAttempts || r.class.Effect == Unsafe {", "len(r.tries) >= b.c.Limits.MaxAttempts {"},
 			{"decide/rules.go", "b.repeatable(r, s) && (b.share(s)", "(b.share(s)"}}},
 		one("copy-unasked", "nobody asks again before a second copy's first byte", "internal/routing/guard.go",
-			" && d.router.may(d.order) && d.task.present()", " && (d.try > 0 || d.router.may(d.order) && d.task.present())"),
+			" && a.router.may(a.order) && a.task.present()", " && (a.try > 0 || a.router.may(a.order) && a.task.present())"),
 		one("cell-forgotten", "a keyed repeat leaves its cell", "decide/rules.go",
 			"|| s.Cell == first.at.Cell", "|| s.Zone == first.at.Zone"),
 		{"retry-past-window", "what has been passed on in part goes out again, from its beginning", []Edit{
