The accept deadline of a listener stands with the owner of deadlines

make check's rule on deadlines found it beside the owner (the first clean clone failed there, before any test). No change of behaviour; the transport's tests passed with the race detector.

--- a/internal/transport/deadline.go
+++ b/internal/transport/deadline.go
@@ -175,6 +175,12 @@
 	return a
 }
 
+// acceptFor has a listener's Accept wait for so long at most from now on. It returns false where the socket layer cannot do so.
+func acceptFor(listener net.Listener, wait time.Duration) bool {
+	l, ok := listener.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(time.Now().Add(wait)) == nil
+}
+
 // Latest is the later of two times.
 func Latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -346,16 +346,9 @@
 	l.mu.Lock()
 	l.stopBy = by
 	l.mu.Unlock()
-	if _, ok := l.ln.(acceptDeadline); !ok {
-		l.ln.Close()
-		return
-	}
 	l.sweep()
 }
 
-// acceptDeadline is a listener whose Accept can be told when to return.
-type acceptDeadline interface{ SetDeadline(time.Time) error }
-
 func (l *Listener) stops() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -371,13 +364,10 @@
 	if by.IsZero() {
 		return true
 	}
-	now := time.Now()
-	listener, ok := l.ln.(acceptDeadline)
-	if !ok || !now.Before(by) {
+	if !time.Now().Before(by) || !acceptFor(l.ln, sweepTime) {
 		l.ln.Close()
 		return false
 	}
-	listener.SetDeadline(now.Add(sweepTime))
 	return true
 }
 
