--- a/internal/routing/guard_test.go
+++ b/internal/routing/guard_test.go
@@ -47,9 +47,10 @@
 
 // A second send of what must not run twice, ordered by whomever, is counted and does not go out.
 func TestUnlawfulOrder(t *testing.T) {
-	w := newTown(t, decide.Class{Effect: decide.Unsafe}, 0)
-	w.Invariants = invariant.NewMonitor(logging.Discard())
-	w.Decide.Limits.SecondCopies = true // as to the router: else it lets no second attempt out for that alone
+	w := newTown(t, decide.Class{Effect: decide.Unsafe}, 0, func(c *Config) {
+		c.Invariants = invariant.NewMonitor(logging.Discard())
+		c.Decide.Limits.SecondCopies = true // else the router lets no second attempt out for that alone
+	})
 	w.learn(w.source, w.list(2, w.instance(0), w.instance(1)), decide.ListFull)
 	w.serve()
 	var c net.Conn
@@ -102,9 +103,10 @@
 		"it was told too much time": {200 * time.Millisecond, func(*town, *task, *attempt) {}, []invariant.Rule{invariant.DeadlineTold}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newTown(t, decide.Class{}, 0)
-			w.Invariants = invariant.NewMonitor(logging.Discard())
-			w.Decide.Safety.DrainGrace = 750 * time.Millisecond
+			w := newTown(t, decide.Class{}, 0, func(c *Config) {
+				c.Invariants = invariant.NewMonitor(logging.Discard())
+				c.Decide.Safety.DrainGrace = 750 * time.Millisecond
+			})
 			request := &task{call: &protocol.Call{ID: []byte("t1")}}
 			d := &attempt{router: w.Router, task: request, deadline: time.Now().Add(time.Minute),
 				order: order{Action: decide.Action{Server: 1}, peer: w.worker(1).peer}}
--- a/internal/routing/told_test.go
+++ b/internal/routing/told_test.go
@@ -37,7 +37,7 @@
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-func newTown(t *testing.T, class decide.Class, listed int) *town {
+func newTown(t *testing.T, class decide.Class, listed int, adjust ...func(*Config)) *town {
 	w := &town{gate: &gate{closed: map[string]chan struct{}{}, dials: make(chan string, 8)},
 		left: make(chan struct{}), answers: make(chan protocol.Answer, 1)}
 	for i := range w.accepted {
@@ -55,12 +55,15 @@
 		}()
 	}
 	class.Aim, class.Deadline, class.Worth = cmp.Or(class.Aim, time.Minute), time.Minute, 1
-	w.Router = New(t.Context(), Config{Decide: decide.Config{Subscribe: true, Classes: []decide.Class{class},
+	c := Config{Decide: decide.Config{Subscribe: true, Classes: []decide.Class{class},
 		Safety: decide.Safety{FallMultiple: 3, TipAfter: time.Second, StartShare: 0.5},
 		Limits: decide.Limits{MaxAttempts: 4}},
 		Network: w.gate, Registry: "127.0.0.1:1", Log: logging.Discard(), Names: Names{Zones: []string{"hall"}},
-		Workers: &protocol.Workers{Pool: transport.NewPool(w.gate, transport.NewBudget(9), time.Minute, time.Minute)}},
-		w.list(1, w.instance(listed)))
+		Workers: &protocol.Workers{Pool: transport.NewPool(w.gate, transport.NewBudget(9), time.Minute, time.Minute)}}
+	for _, f := range adjust { // before the router's goroutines read it
+		f(&c)
+	}
+	w.Router = New(t.Context(), c, w.list(1, w.instance(listed)))
 	return w
 }
 
