--- a/internal/lab/stage/wrong_test.go
+++ b/internal/lab/stage/wrong_test.go
@@ -341,7 +341,7 @@
 		"crashes":             {rule: judge.Crash, text: "ended by itself"},
 		"ends badly":          {rule: judge.Crash, text: "code 4", fault: "kind = \"term\"\nat = \"1s\"\npart = 1.0\n"},
 		"grows":               {rule: judge.Crash, text: "resident"},
-		"waits for who stops": {rule: judge.Stop, text: "saw nothing", fault: "kind = \"stop_clients\"\nat = \"100ms\"\nlength = \"2s\"\ncount = 2\n"},
+		"waits for who stops": {rule: judge.Stop, text: "saw nothing", fault: "kind = \"stop_clients\"\nat = \"100ms\"\nlength = \"2s\"\ncount = 20\n"},
 		"nothing, held":       {fault: "kind = \"hold\"\nat = \"1s\"\nlength = \"2s\"\npart = 1.0\nextra = \"20ms\"\n"},
 	} {
 		t.Run(how, func(t *testing.T) {
