--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -148,7 +148,10 @@
 		return
 	}
 	r.failed++
-	fmt.Fprintf(r.app.stdout, "seed %d FAILED%s\n", seed, map[bool]string{true: ", with failing calls"}[soak.FailingCalls(seed)])
+	fmt.Fprintf(r.app.stdout, "seed %d FAILED\n", seed)
+	if soak.FailingCalls(seed) {
+		fmt.Fprintln(r.app.stdout, "  with failing system calls")
+	}
 	if shrink {
 		s = soak.Shrink(s, func(smaller *scenario.Scenario) bool {
 			_, found := r.play(ctx, smaller, seed)
--- a/internal/cluster/observer/look.go
+++ b/internal/cluster/observer/look.go
@@ -61,7 +61,11 @@
 			return candidate{}, err
 		}
 		var b answer
-		if b, err = o.ask(ctx, next, 0, notLeader); err == nil {
+		b, err = o.ask(ctx, next, 0, notLeader)
+		if err == nil && besides && o.stale(b) {
+			err = errStale // nothing of it is shown, for the leader that is followed knows better
+		}
+		if err == nil {
 			if err = o.take(ctx, next.Source, b); err == nil && o.stale(b) {
 				if err = errStale; least.Batch == nil || o.freshAt(b).After(o.freshAt(least)) {
 					least, stale = b, next
--- a/internal/cluster/voter/join.go
+++ b/internal/cluster/voter/join.go
@@ -152,10 +152,8 @@
 	if at.Identity != e.Identity || at.Cluster != run.cluster {
 		return t, fmt.Errorf("at %s answers the identity %.40q of the cluster %.40q", v.c.address(e.Name), at.Identity, at.Cluster)
 	}
-	if at, err := v.place(ctx, run, asked{e.Name, e.Identity}); err != nil {
-		return t, err
-	} else if out, err := v.takenOut(e, at); err != nil || out {
-		t.Replaced, t.Holder = out, at.Holder
+	if out, holder, err := v.takenOut(ctx, run, e); err != nil || out {
+		t.Replaced, t.Holder = out, holder
 		return t, err
 	}
 	end := run.raft.LastIndex()
--- a/internal/cluster/voter/place_test.go
+++ b/internal/cluster/voter/place_test.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+// swapFolder exchanges a closed node's folder with another.
+func (d *node) swapFolder(other string) {
+	d.c.t.Helper()
+	kept := d.folder + ".kept"
+	for _, move := range [][2]string{{d.folder, kept}, {other, d.folder}, {kept, other}} {
+		if err := os.Rename(move[0], move[1]); err != nil {
+			d.c.t.Fatal(err)
+		}
+	}
+}
+
 // TestOldDisk replaces a voter and brings its old folder back. internal/clustertest/hard does the same with processes.
 func TestOldDisk(t *testing.T) {
 	c := newCluster(t, 3)
@@ -19,11 +30,7 @@
 	aside := t.TempDir()
 	swap := func() {
 		d.close()
-		for _, move := range [][2]string{{d.folder, d.folder + ".kept"}, {aside, d.folder}, {d.folder + ".kept", aside}} {
-			if err := os.Rename(move[0], move[1]); err != nil {
-				t.Fatal(err)
-			}
-		}
+		d.swapFolder(aside)
 		d.open()
 	}
 	swap()
--- a/internal/cluster/voter/replaced.go
+++ b/internal/cluster/voter/replaced.go
@@ -1,6 +1,7 @@
 package voter
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
@@ -80,18 +81,21 @@
 	return err == nil && entry.Term == m.Term, err
 }
 
-// takenOut tells whether an entrant was a member before and is none by the committed configuration that at was read from.
-// Its errors are the disk's.
-func (v *Voter) takenOut(e entrant, at stands) (bool, error) {
-	if e.Member == nil || at.Listed {
-		return false, nil
+// takenOut tells whether an entrant was a member before and is none by what is committed now, and which identity has its name
+// ("" for none). Its errors are those of place and of the disk.
+func (v *Voter) takenOut(ctx context.Context, run *running, e entrant) (out bool, holder string, err error) {
+	if e.Member == nil {
+		return false, "", nil
+	}
+	now, err := v.place(ctx, run, asked{e.Name, e.Identity})
+	if err != nil || now.Listed {
+		return false, "", err
 	}
-	was := false
-	err := guarded(func() (err error) {
-		was, err = wasCommitted(v.disk.Store, e.Member)
+	err = guarded(func() (err error) {
+		out, err = wasCommitted(v.disk.Store, e.Member)
 		return err
 	})
-	return was, err
+	return out, now.Holder, err
 }
 
 // replaced ends this voter's part: its identity was taken out, and another may have its name.
--- a/internal/cluster/voter/replaced_test.go
+++ b/internal/cluster/voter/replaced_test.go
@@ -46,11 +46,7 @@
 	d.forgetVote()
 	aside := t.TempDir()
 	swap := func() {
-		for _, move := range [][2]string{{d.folder, d.folder + ".kept"}, {aside, d.folder}, {d.folder + ".kept", aside}} {
-			if err := os.Rename(move[0], move[1]); err != nil {
-				t.Fatal(err)
-			}
-		}
+		d.swapFolder(aside)
 		d.open()
 	}
 	swap()
--- a/internal/lab/faultnet/faultnet.go
+++ b/internal/lab/faultnet/faultnet.go
@@ -33,7 +33,7 @@
 	transport.System
 	fails     func(Kind) bool // whether the next call of a kind does
 	discovery string          // port whose answers are not lost; "" for none
-	Count     [kinds]atomic.Int64
+	failed    [kinds]atomic.Int64
 }
 
 // New returns the system's network with the faults of a seed, from now on. Reads from discovery, at the port of an address, do
@@ -78,7 +78,7 @@
 	if !n.fails(k) {
 		return false
 	}
-	n.Count[k].Add(1)
+	n.failed[k].Add(1)
 	return true
 }
 
@@ -86,7 +86,7 @@
 func (n *Network) Counts() string {
 	text := ""
 	for k := range kinds {
-		text += fmt.Sprintf(" %v=%d", k, n.Count[k].Load())
+		text += fmt.Sprintf(" %v=%d", k, n.failed[k].Load())
 	}
 	return text[1:]
 }
