--- a/review/standin/case_upgrade.go
+++ b/review/standin/case_upgrade.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,16 +43,10 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // the platform holds the clients' socket
+	held, listen, err := holdSocket()
 	if err != nil {
 		return err
 	}
-	held, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		return err
-	}
-	listen := ln.Addr().String()
-	ln.Close()
 	defer held.Close()
 	firstDoor, err := freeAddress()
 	if err != nil {
@@ -77,8 +70,11 @@
 		c := &client{run: r, name: fmt.Sprintf("client-%d", i), addr: listen}
 		clients.Go(func() { c.steady(over, 150*time.Millisecond) })
 	}
-	defer clients.Wait()
-	defer sync.OnceFunc(func() { close(over) })()
+	endClients := sync.OnceFunc(func() {
+		close(over)
+		clients.Wait()
+	})
+	defer endClients()
 	time.Sleep(4 * time.Second)
 	if before.Load() == 0 {
 		return fmt.Errorf("%s got nothing before it was disabled", victim.id)
@@ -96,6 +92,7 @@
 			return err
 		}
 		time.Sleep(10 * time.Second)
+		endClients()
 		return nil
 	}
 	second, err := r.startSidecar("new", place{listen, secondDoor, held}, reg)
@@ -123,6 +120,7 @@
 		first.signal(syscall.SIGKILL)
 	}
 	time.Sleep(10*time.Second - time.Since(begun))
+	endClients()
 	r.note("case", "%s got %d requests before the order, %d after its grace", victim.id, before.Load(), late.Load())
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,8 @@
 	"upgrade-disable": upgradeDisable,
 	"client-left":     clientLeft,
 	"drain-long":      drainLong,
+	"drain-upgrade":   drainUpgrade,
+	"endless-answer":  endlessAnswer,
 	"pipeline-long":   pipelineLong,
 	"pipeline-term":   pipelineTerm,
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -52,6 +52,17 @@
 	return ln.Addr().String(), nil
 }
 
+// holdSocket opens the clients' socket as the platform holds it on days with an upgrade.
+func holdSocket() (held *os.File, addr string, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	defer ln.Close()
+	held, err = ln.(*net.TCPListener).File()
+	return held, ln.Addr().String(), err
+}
+
 // settings are those of a small deployment: four halls, three classes, a list that is asked for.
 func settings(sidecars int) map[string]any {
 	class := func(name, repeat, group string, aim, deadline, window int, worth, late float64) map[string]any {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -30,6 +30,8 @@
 	workFrom   time.Duration // shortest time that a request runs
 	workTo     time.Duration
 	long       int                             // bytes of an answer's body; 0 for a short text
+	turnsAway  func() bool                     // tells for each request whether it is turned away unseen; nil for never
+	endless    bool                            // an answer of unknown length goes on without end
 	over       time.Duration                   // in which an answer is written, in pieces; 0 for at once
 	ran        func(a *arrival)                // told of each request when its last byte has come; may be nil
 	afterwards func(conn net.Conn, out string) // called when an answer has been written; may be nil
@@ -100,6 +102,13 @@
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: %s\r\nContent-Length: %d\r\n\r\n%s", report, len(report), report)
 			continue
 		}
+		if w.turnsAway != nil && w.turnsAway() {
+			w.run.noteAt(a.lastByte, w.id, "turns away %s %s", a.path, a.id)
+			if !w.write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n") {
+				return
+			}
+			continue
+		}
 		a.answer = fmt.Sprintf("%s ran %s", w.id, a.id)
 		w.run.noteAt(a.lastByte, w.id, "runs %s %s, first byte at %.4f", a.path, a.id, a.firstByte.Sub(w.run.begun).Seconds())
 		if w.long > 0 {
@@ -110,6 +119,10 @@
 		}
 		time.Sleep(w.workFrom + time.Duration(rand.Int64N(int64(w.workTo-w.workFrom)+1)))
 		out := strings.Join([]string{"HTTP/1.1 200 OK", "Content-Type: text/plain", fmt.Sprintf("Content-Length: %d", len(a.answer)), "", a.answer}, "\r\n")
+		if w.endless {
+			w.writeEndless(conn, a.answer)
+			return
+		}
 		if !w.write(conn, out) {
 			return
 		}
@@ -140,3 +153,12 @@
 	}
 	return true
 }
+
+// writeEndless writes an answer in chunks, the first one at once and then a byte now and then, until the connection ends.
+func (w *worker) writeEndless(conn net.Conn, first string) {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(first), first)
+	for err == nil {
+		time.Sleep(400 * time.Millisecond)
+		_, err = io.WriteString(conn, "1\r\nx\r\n")
+	}
+}
