--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,13 +35,13 @@
 	err = cases[os.Args[1]](r)
 	code := exitHeld
 	switch {
+	case r.broken > 0: // also where the play could not be finished after that
+		fmt.Println("the rule was broken", r.broken, "times")
+		code = exitBroken
 	case err != nil:
 		r.note("case", "could not run: %v", err)
 		fmt.Fprintln(os.Stderr, "could not run:", err)
 		code = exitCannot
-	case r.broken > 0:
-		fmt.Println("the rule was broken", r.broken, "times")
-		code = exitBroken
 	default:
 		fmt.Println("the rule held")
 	}
