Orders on workers hold at every process of a sidecar

Cause: each process read the file of disabled workers once, at its start, and kept a set of its own from then on. An order given to one process after that was unknown to the other, in both directions. The same cause made the file wrong: each process replaced it by its own set, so the next process forgot the orders of the other.

Change: the file is the truth that all processes share. An order locks it (flock), takes over what the others wrote, changes that and replaces it, and is acknowledged only then; every process reads it again eight times within the settings' grace on drains (at most each 100 ms) and applies what differs. A file that something else has removed is written again by a process that has orders in force. The format is the same, so an old process of the release before is followed too.

Why this works: the grace is 0.75 s and a process knows an order within 0.1 s; an attempt asks for its worker's state at its first byte.

Router.Disable and its like are gone: the handler edits the set, tests use SetMaintenance. Set.Encode is Orders.Encode. The checks of the tests are as before.

--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -1,11 +1,8 @@
 // Package maintenance records which workers operators have taken out of use and applies that to the state that the
-// registry reports. It does no I/O: the caller stores what Encode returns and passes what it reads to Decode.
+// registry reports. It does no I/O: the caller stores what Orders.Encode returns and passes what it reads to Decode.
 package maintenance
 
 import (
-	"encoding/json"
-	"errors"
-	"fmt"
 	"maps"
 	"slices"
 
@@ -55,6 +52,11 @@
 // Len returns the number of disabled workers and zones.
 func (s *Set) Len() int { return len(s.workers) + len(s.zones) }
 
+// Equal reports whether both sets hold the same workers and zones.
+func (s *Set) Equal(other *Set) bool {
+	return maps.Equal(s.workers, other.workers) && maps.Equal(s.zones, other.zones)
+}
+
 // WorkerIDs returns the IDs of the disabled workers, sorted.
 func (s *Set) WorkerIDs() []string { return sorted(s.workers) }
 
@@ -74,44 +76,3 @@
 	}
 	return listed
 }
-
-// fileKind identifies a maintenance file, so that another file in the same folder is not read as one.
-const fileKind = "burlpass maintenance 1"
-
-type file struct {
-	Kind    string   `json:"kind"`
-	Workers []string `json:"out"`
-	Zones   []string `json:"halls,omitempty"`
-}
-
-// Encode returns the set in the form in which it is stored across restarts.
-func (s *Set) Encode() []byte {
-	out := append([]string{}, s.WorkerIDs()...)                                // encoded as a list even if empty
-	b, _ := json.Marshal(file{Kind: fileKind, Workers: out, Zones: s.Zones()}) // cannot fail: the fields are strings
-	return append(b, '\n')
-}
-
-// ErrInvalidFile is returned for bytes that Encode did not write.
-var ErrInvalidFile = errors.New("not a maintenance file of burlpass")
-
-// Decode parses what Encode wrote. On error the set is empty.
-func Decode(b []byte) (Set, error) {
-	var f file
-	if err := json.Unmarshal(b, &f); err != nil {
-		return Set{}, fmt.Errorf("%w: %v", ErrInvalidFile, err)
-	}
-	if f.Kind != fileKind {
-		return Set{}, fmt.Errorf("%w: kind %.40q", ErrInvalidFile, f.Kind)
-	}
-	var s Set
-	for _, id := range f.Workers {
-		s.Disable(id)
-	}
-	for _, name := range f.Zones {
-		s.DisableZone(name)
-	}
-	if s.workers[""] || s.zones[""] {
-		return Set{}, fmt.Errorf("%w: an empty id", ErrInvalidFile)
-	}
-	return s, nil
-}
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -39,25 +39,29 @@
 }
 
 func TestEncodeDecode(t *testing.T) {
-	var s Set
+	var orders Orders
+	s := &orders.Disabled
 	s.Disable("s-2")
 	s.Disable("s-1")
 	s.DisableZone("hall-a")
-	decoded, err := Decode(s.Encode())
+	decoded, err := Decode(orders.Encode())
 	if err != nil {
 		t.Fatal(err)
 	}
-	if d := cmp.Diff([]string{"s-1", "s-2", "hall-a"}, append(decoded.WorkerIDs(), decoded.Zones()...)); d != "" {
+	if d := cmp.Diff([]string{"s-1", "s-2", "hall-a"}, append(decoded.Disabled.WorkerIDs(), decoded.Disabled.Zones()...)); d != "" {
 		t.Error(d)
 	}
+	if !decoded.Equal(&orders) {
+		t.Error("the decoded orders differ")
+	}
 	for name, text := range map[string]string{
-		"truncated":  string(s.Encode()[:10]),
+		"truncated":  string(orders.Encode()[:10]),
 		"other kind": `{"kind":"something else","out":["s-1"]}`,
 		"empty id":   `{"kind":"burlpass maintenance 1","out":[""]}`,
 	} {
 		got, err := Decode([]byte(text))
-		if !errors.Is(err, ErrInvalidFile) || got.Len() != 0 {
-			t.Errorf("%s: error %v, %d disabled", name, err, got.Len())
+		if !errors.Is(err, ErrInvalidFile) || !got.IsZero() {
+			t.Errorf("%s: error %v, %d disabled", name, err, got.Disabled.Len())
 		}
 	}
 }
--- /dev/null
+++ b/internal/maintenance/orders.go
@@ -0,0 +1,63 @@
+package maintenance
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Orders are the orders of operators that are in force at a sidecar, the same at all of its processes. The zero Orders are
+// none, and ready for use.
+type Orders struct {
+	Disabled Set
+}
+
+// IsZero reports whether no order is in force.
+func (o *Orders) IsZero() bool { return o.Disabled.Len() == 0 }
+
+// Equal reports whether both are the same orders.
+func (o *Orders) Equal(other *Orders) bool { return o.Disabled.Equal(&other.Disabled) }
+
+// Clone returns an independent copy.
+func (o *Orders) Clone() Orders { return Orders{Disabled: o.Disabled.Clone()} }
+
+// fileKind identifies a file of orders, so that another file in the same folder is not read as one.
+const fileKind = "burlpass maintenance 1"
+
+type file struct {
+	Kind    string   `json:"kind"`
+	Workers []string `json:"out"`
+	Zones   []string `json:"halls,omitempty"`
+}
+
+// Encode returns the orders in the form in which processes of a sidecar store them for one another.
+func (o *Orders) Encode() []byte {
+	out := append([]string{}, o.Disabled.WorkerIDs()...)                                // encoded as a list even if empty
+	b, _ := json.Marshal(file{Kind: fileKind, Workers: out, Zones: o.Disabled.Zones()}) // cannot fail: the fields are strings
+	return append(b, '\n')
+}
+
+// ErrInvalidFile is returned for bytes that Encode did not write.
+var ErrInvalidFile = errors.New("not a maintenance file of burlpass")
+
+// Decode parses what Encode wrote. On error there are no orders.
+func Decode(b []byte) (Orders, error) {
+	var f file
+	if err := json.Unmarshal(b, &f); err != nil {
+		return Orders{}, fmt.Errorf("%w: %v", ErrInvalidFile, err)
+	}
+	if f.Kind != fileKind {
+		return Orders{}, fmt.Errorf("%w: kind %.40q", ErrInvalidFile, f.Kind)
+	}
+	var o Orders
+	for _, id := range f.Workers {
+		o.Disabled.Disable(id)
+	}
+	for _, name := range f.Zones {
+		o.Disabled.DisableZone(name)
+	}
+	if o.Disabled.workers[""] || o.Disabled.zones[""] {
+		return Orders{}, fmt.Errorf("%w: an empty id", ErrInvalidFile)
+	}
+	return o, nil
+}
--- a/internal/orders/keeper.go
+++ b/internal/orders/keeper.go
@@ -56,8 +56,8 @@
 
 	mu          sync.Mutex
 	pending     []*pendingOrder
-	lastApplied []byte // the set last applied, encoded
-	lastSaved   []byte // the pending orders last saved, encoded
+	lastApplied *maintenance.Set // nil before the first
+	lastSaved   []byte           // the pending orders last saved, encoded
 }
 
 // New returns a Keeper with the pending orders of an earlier process. If there is no file of them, the orders in Start, given before there was a
@@ -138,8 +138,8 @@
 	view := k.currentView()
 	k.pending = withoutShown(view, k.pending)
 	inForce := effectiveSet(view, k.Start, k.pending)
-	if b := inForce.Encode(); !bytes.Equal(b, k.lastApplied) {
-		k.lastApplied = b
+	if k.lastApplied == nil || !inForce.Equal(k.lastApplied) {
+		k.lastApplied = &inForce
 		k.Apply(inForce)
 	}
 	if b := encode(k.pending); !bytes.Equal(b, k.lastSaved) {
--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -1,11 +1,10 @@
 package program
 
 import (
-	"errors"
-	"os"
+	"context"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/renameio/v2"
 
@@ -23,9 +22,8 @@
 	stopping *atomic.Bool // SIGTERM has arrived, so the process is no longer ready
 	stats    *protocol.Counters
 
-	orders *orders.Keeper // maintenance orders of the cluster; nil without a cluster
-
-	saveMu sync.Mutex // serializes reading the set and writing the file, so that an older set never overwrites a newer one
+	orders        *sharedOrders
+	clusterOrders *orders.Keeper // maintenance orders of the cluster; nil without a cluster
 }
 
 // Ready reports whether the process serves calls and is not stopping.
@@ -41,67 +39,57 @@
 	return report.JSON()
 }
 
-// ApplyMaintenance applies a maintenance order to this sidecar and persists it. In a cluster, the returned text says whether the order
+// saveTimeout bounds how long an order may wait for the file that the sidecar's processes share; the rest of
+// operator.OrderTimeout is left for applying it.
+const saveTimeout = operator.OrderTimeout - 200*time.Millisecond
+
+// ApplyMaintenance applies a maintenance order to this sidecar, at all of its processes. In a cluster, the returned text says whether the order
 // took effect at all members.
 func (h *adminHandler) ApplyMaintenance(command operator.Command) (string, error) {
-	if h.orders != nil {
+	if h.clusterOrders != nil {
 		return h.orderViaCluster(command)
 	}
-	return "", h.changeAndSave(func() error {
-		router := h.router
+	return "", h.changeOrders(func(o *maintenance.Orders) error {
+		if err := h.checkTarget(command); err != nil {
+			return err
+		}
 		switch command.Verb {
 		case operator.Disable:
-			return router.Disable(command.ID)
+			o.Disabled.Disable(command.ID)
 		case operator.Enable:
-			return router.Enable(command.ID)
+			o.Disabled.Enable(command.ID)
 		case operator.DisableZone:
-			return router.DisableZone(command.ID)
+			o.Disabled.DisableZone(command.ID)
+		case operator.EnableZone:
+			o.Disabled.EnableZone(command.ID)
 		}
-		return router.EnableZone(command.ID)
+		return nil
 	})
 }
 
-// errNotSaved refuses an order that could not be persisted for the next process.
-var errNotSaved = errors.New("it could not be kept for the next process")
-
-// changeAndSave applies a change to the maintenance set and persists it for the next process. A change that cannot be saved
-// is rolled back and refused, because an acknowledged order must survive an upgrade.
-func (h *adminHandler) changeAndSave(change func() error) error {
-	h.saveMu.Lock()
-	defer h.saveMu.Unlock()
-	before := h.router.Maintenance()
-	if err := change(); err != nil {
-		return err
-	}
-	if !h.saveMaintenance() {
-		h.router.SetMaintenance(before)
-		return errNotSaved
+// checkTarget returns an error if no list has named the worker, or the settings do not name the hall, that an order is for.
+func (h *adminHandler) checkTarget(command operator.Command) error {
+	if command.Verb == operator.DisableZone || command.Verb == operator.EnableZone {
+		return h.router.CheckZone(command.ID)
 	}
-	return nil
+	return h.router.CheckWorker(command.ID)
 }
 
-// saveMaintenance persists the maintenance set. It reports whether that succeeded and logs the error otherwise. The caller
-// holds saveMu.
-func (h *adminHandler) saveMaintenance() bool {
-	path := h.s.maintenancePath()
-	if path == "" {
-		return true
-	}
-	set := h.router.Maintenance()
-	if err := writeFileAtomic(path, set.Encode()); err != nil {
-		h.s.log.Error("maintenance_not_kept", "path", path, "err", err)
-		return false
-	}
-	return true
+// changeOrders changes the orders that the sidecar's processes share.
+func (h *adminHandler) changeOrders(edit func(*maintenance.Orders) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+	defer cancel()
+	return h.orders.change(ctx, edit)
 }
 
 // applyClusterSet applies the cluster's maintenance set. The record persists the set; the local file serves a process that
 // starts without a record.
 func (h *adminHandler) applyClusterSet(set maintenance.Set) {
-	h.saveMu.Lock()
-	defer h.saveMu.Unlock()
 	h.router.SetMaintenance(set)
-	h.saveMaintenance()
+	h.changeOrders(func(o *maintenance.Orders) error { // on failure, which is logged, the record still has the set
+		o.Disabled = set.Clone()
+		return nil
+	})
 }
 
 // writeFileAtomic replaces a file: a reader sees the old or the new content, never a part.
@@ -117,32 +105,3 @@
 
 // Undrain ends the effect of Drain.
 func (h *adminHandler) Undrain() { h.s.drained.Store(false) }
-
-// maintenancePath is the file of the workers and zones that operators disabled, or "" without a state directory.
-func (s *Sidecar) maintenancePath() string {
-	if s.config.StateDir == "" {
-		return ""
-	}
-	return filepath.Join(s.config.StateDir, "burlpass-"+s.config.Name+".maintenance")
-}
-
-// loadMaintenance reads the maintenance set of an earlier process. A missing file is an empty set; an unreadable or invalid
-// file is logged and treated as empty.
-func (s *Sidecar) loadMaintenance() maintenance.Set {
-	path := s.maintenancePath()
-	if path == "" {
-		return maintenance.Set{}
-	}
-	b, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return maintenance.Set{}
-	}
-	if err == nil {
-		var set maintenance.Set
-		if set, err = maintenance.Decode(b); err == nil {
-			return set
-		}
-	}
-	s.log.Error("maintenance_ignored", "path", path, "err", err)
-	return maintenance.Set{}
-}
--- a/internal/program/cluster.go
+++ b/internal/program/cluster.go
@@ -30,7 +30,7 @@
 	if s.member == nil {
 		return
 	}
-	handler.orders = orders.New(orders.Config{
+	handler.clusterOrders = orders.New(orders.Config{
 		Member: s.member,
 		By:     s.config.Cluster.Member + "/door",
 		Start:  start,
@@ -42,7 +42,7 @@
 		Load: func() ([]byte, error) { return os.ReadFile(s.ordersPath()) },
 		Save: func(b []byte) error { return writeFileAtomic(s.ordersPath(), b) },
 	})
-	go handler.orders.Run(ctx)
+	go handler.clusterOrders.Run(ctx)
 }
 
 // ordersPath is the file of orders that are not committed yet, in the member's folder or else in the state directory. If
@@ -57,19 +57,16 @@
 
 // orderViaCluster submits an operator's order to the cluster.
 func (h *adminHandler) orderViaCluster(command operator.Command) (string, error) {
-	var lookupErr error
+	if err := h.checkTarget(command); err != nil {
+		return "", err
+	}
 	target := orders.Worker(command.ID)
 	if command.Verb == operator.DisableZone || command.Verb == operator.EnableZone {
-		lookupErr, target = h.router.CheckZone(command.ID), orders.Hall(command.ID)
-	} else {
-		lookupErr = h.router.CheckWorker(command.ID)
-	}
-	if lookupErr != nil {
-		return "", lookupErr
+		target = orders.Hall(command.ID)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	return h.orders.Order(ctx, target, command.Verb == operator.Disable || command.Verb == operator.DisableZone), nil
+	return h.clusterOrders.Order(ctx, target, command.Verb == operator.Disable || command.Verb == operator.DisableZone), nil
 }
 
 // closeMember closes the cluster member, if there is one.
--- a/internal/program/overload_test.go
+++ b/internal/program/overload_test.go
@@ -65,15 +65,8 @@
 	}
 }
 
-// startSidecar runs this binary as a sidecar with the given workers (comma-separated addresses) and number of descriptors, and
-// returns its listen address. Its log is discarded.
-func startSidecar(t testing.TB, workers string, sockets int) (c *exec.Cmd, addr string) {
-	return startSidecarWithLog(t, workers, sockets, io.Discard)
-}
-
-// startSidecarWithLog is startSidecar with the log written to log. It turns off the race detector's sleep at exit, which would
-// delay the exit of the process by a second.
-func startSidecarWithLog(t testing.TB, workers string, sockets int, log io.Writer) (c *exec.Cmd, addr string) {
+// writeConfig writes the platform's configuration with the given workers, s0 and so on in hall-a, and returns its path.
+func writeConfig(t testing.TB, workers string, sockets int) string {
 	path := filepath.Join(t.TempDir(), "config.json")
 	var instances []string
 	for i, worker := range strings.Split(workers, ",") {
@@ -85,6 +78,19 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	return path
+}
+
+// startSidecar runs this binary as a sidecar with the given workers (comma-separated addresses) and number of descriptors, and
+// returns its listen address. Its log is discarded.
+func startSidecar(t testing.TB, workers string, sockets int) (c *exec.Cmd, addr string) {
+	return startSidecarWithLog(t, workers, sockets, io.Discard)
+}
+
+// startSidecarWithLog is startSidecar with the log written to log. It turns off the race detector's sleep at exit, which would
+// delay the exit of the process by a second.
+func startSidecarWithLog(t testing.TB, workers string, sockets int, log io.Writer) (c *exec.Cmd, addr string) {
+	path := writeConfig(t, workers, sockets)
 	c = exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), childEnv+"=1", "GORACE=atexit_sleep_ms=0", "EDGE_NAME=n1", "EDGE_LISTEN=127.0.0.1:0", "EDGE_DISCOVERY=127.0.0.1:1", "EDGE_CONFIG="+path)
 	c.Stderr = log
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -18,6 +18,7 @@
 	"burlpass/internal/enforcement"
 	"burlpass/internal/invariant"
 	"burlpass/internal/limits"
+	"burlpass/internal/maintenance"
 	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
 	"burlpass/internal/routing"
@@ -169,7 +170,8 @@
 	defer startClose()
 	cfg := s.config
 	stats := protocol.NewCounters(len(cfg.Names.Classes))
-	maintenanceSet := s.loadMaintenance()
+	sharedOrders := s.loadOrders()
+	disabled := sharedOrders.current().Disabled
 	invariants := invariant.NewMonitor(s.log)
 	router := routing.New(runCtx, routing.Config{
 		Decide:     cfg.Decide,
@@ -180,14 +182,11 @@
 		Log:        s.log,
 		Trace:      cfg.Trace,
 		Workers:    &protocol.Workers{Pool: s.pool, Columns: cfg.Decide.Columns, Counters: stats},
-		Out:        maintenanceSet,
+		Out:        disabled,
 		Gate:       s.gate,
 		Invariants: invariants,
 	}, cfg.Known)
 	s.router.Store(router)
-	if maintenanceSet.Len() > 0 {
-		s.log.Info("maintenance", "out", strings.Join(maintenanceSet.WorkerIDs(), ","), "halls", strings.Join(maintenanceSet.Zones(), ","))
-	}
 	retryAfter := time.Duration(0)
 	if cfg.Decide.Limits.RetryAfter {
 		retryAfter = min(earlyRefusalRetryAfter, cfg.Decide.Limits.MaxRetryAfter)
@@ -219,8 +218,12 @@
 	}()
 	var stopping atomic.Bool
 	adminDone := make(chan struct{})
-	adminHandler := &adminHandler{s: s, router: router, stopping: &stopping, stats: stats}
-	s.startOrders(runCtx, adminHandler, maintenanceSet)
+	adminHandler := &adminHandler{s: s, router: router, stopping: &stopping, stats: stats, orders: sharedOrders}
+	if s.member == nil { // else the cluster's record says which workers are disabled
+		sharedOrders.apply = func(o maintenance.Orders) { router.SetMaintenance(o.Disabled) }
+	}
+	s.startOrders(runCtx, adminHandler, disabled)
+	go sharedOrders.follow(runCtx, followInterval(cfg.Decide.Safety.DrainGrace))
 	stopRules := s.startRules()
 	if s.adminListener != nil {
 		adminListener := &operator.Listener{Log: s.log, Handler: adminHandler}
--- a/internal/routing/first_byte_test.go
+++ b/internal/routing/first_byte_test.go
@@ -36,6 +36,13 @@
 	answers  chan protocol.Answer
 }
 
+// disable applies an operator's order that takes the worker with the given ID, and no other, out of use.
+func (s *testSidecar) disable(id string) {
+	var out maintenance.Set
+	out.Disable(id)
+	s.SetMaintenance(out)
+}
+
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // newTestSidecar starts three workers and a router whose first list names the worker at the index listed.
@@ -151,21 +158,21 @@
 			first := s.instance(0)
 			first.StartedMs = time.Now().UnixMilli()
 			s.applyList(s.registrySource, s.list(11, first, s.instance(1)), decide.ListFull)
-			s.Disable("0") // so that the call goes to the other worker
+			s.disable("0") // so that the call goes to the other worker
 		},
 		"restarted": func(s *testSidecar) {
 			first := s.instance(0)
 			first.StartedMs = time.Now().UnixMilli()
 			s.applyList(s.registrySource, s.list(10, first, s.instance(1)), decide.ListFull)
-			s.Disable("0") // so that the call goes to the other worker
+			s.disable("0") // so that the call goes to the other worker
 		},
 		"at another address": func(s *testSidecar) {
 			first := s.instance(0)
 			first.Addr = "127.0.0.1:1"
 			s.applyList(s.registrySource, s.list(10, first, s.instance(1)), decide.ListFull)
-			s.Disable("0")
+			s.disable("0")
 		},
-		"disabled": func(s *testSidecar) { both(s); s.Disable("0") },
+		"disabled": func(s *testSidecar) { both(s); s.disable("0") },
 		"disabled by the cluster": func(s *testSidecar) {
 			both(s)
 			var out maintenance.Set
--- a/internal/routing/maintenance.go
+++ b/internal/routing/maintenance.go
@@ -21,30 +21,6 @@
 // ErrUnknownZone is returned for a hall that the settings do not name. Operators call a zone a hall.
 var ErrUnknownZone = errors.New("no such hall")
 
-// Disable takes a worker out of use for this sidecar: until Enable, the balancer sees it as draining, whatever the
-// registry says. For an ID that was never listed it returns ErrNeverListed and changes nothing. Disabling a disabled
-// worker is no change.
-func (r *Router) Disable(id string) error {
-	return r.updateMaintenance(r.CheckWorker(id), func(s *maintenance.Set) bool { return s.Disable(id) })
-}
-
-// Enable puts a worker back into use; the state reported by the registry applies again. An ID that is disabled or was ever
-// listed is accepted, even if the registry has dropped it since.
-func (r *Router) Enable(id string) error {
-	return r.updateMaintenance(r.CheckWorker(id), func(s *maintenance.Set) bool { return s.Enable(id) })
-}
-
-// DisableZone disables all workers of a hall, including those listed there later. It returns ErrUnknownZone for a hall that
-// the settings do not name.
-func (r *Router) DisableZone(name string) error {
-	return r.updateMaintenance(r.CheckZone(name), func(s *maintenance.Set) bool { return s.DisableZone(name) })
-}
-
-// EnableZone reverts DisableZone.
-func (r *Router) EnableZone(name string) error {
-	return r.updateMaintenance(r.CheckZone(name), func(s *maintenance.Set) bool { return s.EnableZone(name) })
-}
-
 // CheckWorker returns ErrNeverListed for the ID of a worker that was never listed and is not disabled.
 func (r *Router) CheckWorker(id string) error {
 	r.mu.Lock()
@@ -63,24 +39,13 @@
 	return nil
 }
 
-// SetMaintenance replaces the set of disabled workers and halls, for example with the cluster's. IDs and halls that are unknown
-// here are kept; they take effect once they are listed.
+// SetMaintenance replaces the set of disabled workers and halls and notifies the balancer of the workers whose state that
+// changes: it sees a disabled worker as draining, whatever the registry says. IDs and halls that are unknown here are kept;
+// they take effect once they are listed.
 func (r *Router) SetMaintenance(set maintenance.Set) {
-	set = set.Clone()
-	r.updateMaintenance(nil, func(s *maintenance.Set) bool { *s = set; return true })
-}
-
-// updateMaintenance applies change and notifies the balancer of the workers whose state it affects. If invalid is not nil,
-// it changes nothing and returns invalid.
-func (r *Router) updateMaintenance(invalid error, change func(*maintenance.Set) bool) error {
-	if invalid != nil {
-		return invalid
-	}
 	r.mu.Lock()
-	if !change(&r.Out) {
-		r.mu.Unlock()
-		return nil
-	}
+	r.Out = set.Clone()
+	r.rememberWorkers(set.WorkerIDs())
 	var stalePeers []transport.Peer
 	var changed []decide.Server
 	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
@@ -106,7 +71,13 @@
 		r.Workers.CloseIdle(peer)
 	}
 	r.execute(actions)
-	return nil
+}
+
+// rememberWorkers counts workers that operators disabled as listed once, since an earlier list had them. The caller holds r.mu.
+func (r *Router) rememberWorkers(ids []string) {
+	for _, id := range ids {
+		r.seenWorkers[id] = true
+	}
 }
 
 // countUpWorkers counts the workers that may be chosen. The caller holds r.mu.
@@ -119,13 +90,6 @@
 	}
 }
 
-// Maintenance returns a copy of the set of disabled workers and halls.
-func (r *Router) Maintenance() maintenance.Set {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.Out.Clone()
-}
-
 // WorkerCounts returns the number of listed workers and the number of those that this sidecar avoids because they are disabled
 // or draining.
 func (r *Router) WorkerCounts() (listed, down int) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -94,9 +94,7 @@
 		calls: map[uint64]*activeCall{}, workerIDs: map[string]decide.ServerID{}, workers: map[decide.ServerID]*worker{},
 		seenWorkers: map[string]bool{}, unknownZones: map[string]int{}, startTimes: map[string]processStart{},
 	}
-	for _, id := range c.Out.WorkerIDs() {
-		r.seenWorkers[id] = true
-	}
+	r.rememberWorkers(c.Out.WorkerIDs())
 	r.lastAnswer = r.clockOrigin
 	r.applyList(r.registrySource, known, decide.ListCached)
 	if !c.Decide.Subscribe {
