A drain holds at every process of a sidecar

UNDRAIN at another process than the drained one did nothing.

Change: the drain is one of the orders that the processes share. A drain that cannot be kept for the others is refused with NAK and changes nothing, as DISABLE is. It now lasts until UNDRAIN over upgrades and over restarts that keep $TMPDIR; the platform empties that at every other start.

Checks in TestUnwritableStateDir are added for DRAIN. internal/program, operator, maintenance pass with the race detector.

One failure on the way: TestStalledClients, "hundreds beyond the connection limit" (a whole call got no answer, "unexpected EOF" after 247 ms), once in a run beside some forty child processes of the new tests under load. Tried for a trace: ten plays with 24 busy processes and three whole runs of the package under the same load, with each eviction printed: not seen again, so it is not traced. A fit is a client held up for more than 100 ms between its connect and its first byte, whose connection is then closed unread to make room.

--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -10,16 +10,19 @@
 // none, and ready for use.
 type Orders struct {
 	Disabled Set
+	Drained  bool // clients are directed to other sidecars
 }
 
 // IsZero reports whether no order is in force.
-func (o *Orders) IsZero() bool { return o.Disabled.Len() == 0 }
+func (o *Orders) IsZero() bool { return o.Disabled.Len() == 0 && !o.Drained }
 
 // Equal reports whether both are the same orders.
-func (o *Orders) Equal(other *Orders) bool { return o.Disabled.Equal(&other.Disabled) }
+func (o *Orders) Equal(other *Orders) bool {
+	return o.Disabled.Equal(&other.Disabled) && o.Drained == other.Drained
+}
 
 // Clone returns an independent copy.
-func (o *Orders) Clone() Orders { return Orders{Disabled: o.Disabled.Clone()} }
+func (o *Orders) Clone() Orders { return Orders{o.Disabled.Clone(), o.Drained} }
 
 // fileKind identifies a file of orders, so that another file in the same folder is not read as one.
 const fileKind = "burlpass maintenance 1"
@@ -28,12 +31,13 @@
 	Kind    string   `json:"kind"`
 	Workers []string `json:"out"`
 	Zones   []string `json:"halls,omitempty"`
+	Drained bool     `json:"drained,omitempty"`
 }
 
 // Encode returns the orders in the form in which processes of a sidecar store them for one another.
 func (o *Orders) Encode() []byte {
-	out := append([]string{}, o.Disabled.WorkerIDs()...)                                // encoded as a list even if empty
-	b, _ := json.Marshal(file{Kind: fileKind, Workers: out, Zones: o.Disabled.Zones()}) // cannot fail: the fields are strings
+	out := append([]string{}, o.Disabled.WorkerIDs()...)                     // encoded as a list even if empty
+	b, _ := json.Marshal(file{fileKind, out, o.Disabled.Zones(), o.Drained}) // cannot fail: only plain data
 	return append(b, '\n')
 }
 
@@ -49,7 +53,7 @@
 	if f.Kind != fileKind {
 		return Orders{}, fmt.Errorf("%w: kind %.40q", ErrInvalidFile, f.Kind)
 	}
-	var o Orders
+	o := Orders{Drained: f.Drained}
 	for _, id := range f.Workers {
 		o.Disabled.Disable(id)
 	}
--- a/internal/operator/listener.go
+++ b/internal/operator/listener.go
@@ -11,22 +11,22 @@
 	"time"
 )
 
-// Handler executes the listener's commands. Every method except ApplyMaintenance must return at once, without waiting for calls
-// or workers.
+// Handler executes the listener's commands. Ready and Stats must return at once, without waiting for calls or workers; the
+// others return within OrderTimeout. If an order fails, the state is unchanged and the error is sent with NAK.
 type Handler interface {
 	Ready() bool
 	Stats() []byte // the figures as one line of JSON, without a newline
-	// ApplyMaintenance executes Disable, Enable, DisableZone or EnableZone within OrderTimeout. It returns the scope in which the change
-	// applies, "" if there is only one. If it fails, the state is unchanged and the error is sent with NAK.
+	// ApplyMaintenance executes Disable, Enable, DisableZone or EnableZone. It returns the scope in which the change applies, "" if
+	// there is only one.
 	ApplyMaintenance(c Command) (scope string, err error)
-	Drain()   // direct clients away; idempotent
-	Undrain() // end draining; idempotent
+	Drain() error   // direct clients away; idempotent
+	Undrain() error // end draining; idempotent
 }
 
 const (
 	// LineTimeout is how long after its accept a connection may take to send its line before it is closed.
 	LineTimeout = time.Second
-	// OrderTimeout bounds Handler.ApplyMaintenance, so that the response is sent within a second.
+	// OrderTimeout bounds the Handler's methods, so that the response is sent within a second.
 	OrderTimeout = 800 * time.Millisecond
 	// writeTimeout bounds writing the response, so that a client that does not read cannot hold its connection.
 	writeTimeout = time.Second
@@ -150,11 +150,15 @@
 		l.Log.Info("operator", "command", line, "holds", scope)
 		return []byte(strings.TrimRight("ACK "+result+c.ID+" "+scope, " ") + "\n")
 	case Drain:
-		h.Drain()
+		if err := h.Drain(); err != nil {
+			return nak(err)
+		}
 		l.Log.Info("operator", "command", "drain")
 		return []byte("ACK draining\n")
 	default:
-		h.Undrain()
+		if err := h.Undrain(); err != nil {
+			return nak(err)
+		}
 		l.Log.Info("operator", "command", "undrain")
 		return []byte("ACK serving\n")
 	}
--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -97,11 +97,24 @@
 	return renameio.WriteFile(path, b, 0o600, renameio.WithTempDir(filepath.Dir(path)))
 }
 
-// Drain steers clients away: it closes idle connections and makes every response close its connection.
-func (h *adminHandler) Drain() {
-	h.s.drained.Store(true)
-	h.s.listener.CloseIdle()
-}
+// Drain steers clients away from all processes of this sidecar until Undrain.
+func (h *adminHandler) Drain() error { return h.setDrained(true) }
 
 // Undrain ends the effect of Drain.
-func (h *adminHandler) Undrain() { h.s.drained.Store(false) }
+func (h *adminHandler) Undrain() error { return h.setDrained(false) }
+
+func (h *adminHandler) setDrained(drained bool) error {
+	return h.changeOrders(func(o *maintenance.Orders) error {
+		o.Drained = drained
+		return nil
+	})
+}
+
+// applyDrained steers clients away from this process, or ends that: a drained process closes idle connections and makes every
+// response close its connection.
+func (s *Sidecar) applyDrained(drained bool) {
+	s.drained.Store(drained)
+	if drained {
+		s.listener.CloseIdle()
+	}
+}
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -171,7 +171,8 @@
 	cfg := s.config
 	stats := protocol.NewCounters(len(cfg.Names.Classes))
 	sharedOrders := s.loadOrders()
-	disabled := sharedOrders.current().Disabled
+	startOrders := sharedOrders.current()
+	s.drained.Store(startOrders.Drained)
 	invariants := invariant.NewMonitor(s.log)
 	router := routing.New(runCtx, routing.Config{
 		Decide:     cfg.Decide,
@@ -182,7 +183,7 @@
 		Log:        s.log,
 		Trace:      cfg.Trace,
 		Workers:    &protocol.Workers{Pool: s.pool, Columns: cfg.Decide.Columns, Counters: stats},
-		Out:        disabled,
+		Out:        startOrders.Disabled,
 		Gate:       s.gate,
 		Invariants: invariants,
 	}, cfg.Known)
@@ -219,10 +220,13 @@
 	var stopping atomic.Bool
 	adminDone := make(chan struct{})
 	adminHandler := &adminHandler{s: s, router: router, stopping: &stopping, stats: stats, orders: sharedOrders}
-	if s.member == nil { // else the cluster's record says which workers are disabled
-		sharedOrders.apply = func(o maintenance.Orders) { router.SetMaintenance(o.Disabled) }
+	sharedOrders.apply = func(o maintenance.Orders) {
+		s.applyDrained(o.Drained)
+		if s.member == nil { // else the cluster's record says which workers are disabled
+			router.SetMaintenance(o.Disabled)
+		}
 	}
-	s.startOrders(runCtx, adminHandler, disabled)
+	s.startOrders(runCtx, adminHandler, startOrders.Disabled)
 	go sharedOrders.follow(runCtx, followInterval(cfg.Decide.Safety.DrainGrace))
 	stopRules := s.startRules()
 	if s.adminListener != nil {
--- a/internal/program/shared_orders.go
+++ b/internal/program/shared_orders.go
@@ -113,7 +113,8 @@
 	}
 	o.inForce = orders
 	o.apply(orders.Clone())
-	o.log.Info("maintenance", "out", strings.Join(orders.Disabled.WorkerIDs(), ","), "halls", strings.Join(orders.Disabled.Zones(), ","))
+	o.log.Info("maintenance", "out", strings.Join(orders.Disabled.WorkerIDs(), ","), "halls", strings.Join(orders.Disabled.Zones(), ","),
+		"drained", orders.Drained)
 }
 
 // follow applies the orders given at the sidecar's other processes until ctx is done.
--- a/internal/program/state_dir_test.go
+++ b/internal/program/state_dir_test.go
@@ -16,6 +16,10 @@
 		operator expect NAK it could not be kept for the next process
 		operator send DISABLE-HALL hall-a
 		operator expect NAK it could not be kept for the next process
+		operator send DRAIN
+		operator expect NAK it could not be kept for the next process
+		b send "GET /_health HTTP/1.1\r\n\r\n"
+		b expect 200 ok
 		a send GET /availability/x id=t1 expires=2000m
 		w1 expect GET /availability/x id=t1 at=0
 		w1 send 200 ok
