A reload holds at every process of a sidecar

What SIGHUP told lived in one process; the log line event=reload is the sidecar's yes to it.

Change: the processes share a count of reloads. SIGHUP adds one, and each process that sees a new count reads its own file again, with the same rules for a bad file. A process that starts once there has been a reload asks the registry that its file names. If the count cannot be stored, which is logged, the process that got the signal reloads alone.

Evidence: TestReloadHoldsAtEveryProcess failed before ("no request from the second process within 4s") and passes now.

--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestEncodeDecode(t *testing.T) {
-	orders := Orders{Drained: true}
+	orders := Orders{Drained: true, Reloads: 3}
 	s := &orders.Disabled
 	s.Disable("s-2")
 	s.Disable("s-1")
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -6,23 +6,23 @@
 	"fmt"
 )
 
-// Orders are the orders of operators that are in force at a sidecar, the same at all of its processes. The zero Orders are
-// none, and ready for use.
+// Orders are what a sidecar has been told and all of its processes follow. The zero Orders are none, and ready for use.
 type Orders struct {
 	Disabled Set
 	Drained  bool // clients are directed to other sidecars
+	Reloads  int  // how often the sidecar was told to read its configuration again
 }
 
 // IsZero reports whether no order is in force.
-func (o *Orders) IsZero() bool { return o.Disabled.Len() == 0 && !o.Drained }
+func (o *Orders) IsZero() bool { return o.Disabled.Len() == 0 && !o.Drained && o.Reloads == 0 }
 
 // Equal reports whether both are the same orders.
 func (o *Orders) Equal(other *Orders) bool {
-	return o.Disabled.Equal(&other.Disabled) && o.Drained == other.Drained
+	return o.Disabled.Equal(&other.Disabled) && o.Drained == other.Drained && o.Reloads == other.Reloads
 }
 
 // Clone returns an independent copy.
-func (o *Orders) Clone() Orders { return Orders{o.Disabled.Clone(), o.Drained} }
+func (o *Orders) Clone() Orders { return Orders{o.Disabled.Clone(), o.Drained, o.Reloads} }
 
 // fileKind identifies a file of orders, so that another file in the same folder is not read as one.
 const fileKind = "burlpass maintenance 1"
@@ -32,12 +32,13 @@
 	Workers []string `json:"out"`
 	Zones   []string `json:"halls,omitempty"`
 	Drained bool     `json:"drained,omitempty"`
+	Reloads int      `json:"reloads,omitempty"`
 }
 
 // Encode returns the orders in the form in which processes of a sidecar store them for one another.
 func (o *Orders) Encode() []byte {
-	out := append([]string{}, o.Disabled.WorkerIDs()...)                     // encoded as a list even if empty
-	b, _ := json.Marshal(file{fileKind, out, o.Disabled.Zones(), o.Drained}) // cannot fail: only plain data
+	out := append([]string{}, o.Disabled.WorkerIDs()...)                                // encoded as a list even if empty
+	b, _ := json.Marshal(file{fileKind, out, o.Disabled.Zones(), o.Drained, o.Reloads}) // cannot fail: only plain data
 	return append(b, '\n')
 }
 
@@ -53,7 +54,7 @@
 	if f.Kind != fileKind {
 		return Orders{}, fmt.Errorf("%w: kind %.40q", ErrInvalidFile, f.Kind)
 	}
-	o := Orders{Drained: f.Drained}
+	o := Orders{Drained: f.Drained, Reloads: f.Reloads}
 	for _, id := range f.Workers {
 		o.Disabled.Disable(id)
 	}
--- a/internal/program/main_test.go
+++ b/internal/program/main_test.go
@@ -53,7 +53,7 @@
 	}
 	fmt.Println(sidecar.Addr())
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
 	sidecar.Run(signals)
 	return nil
 }
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -10,7 +10,6 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -62,6 +61,7 @@
 	drained       atomic.Bool                    // by an operator's DRAIN
 	adminListener net.Listener                   // for operators; nil if not configured
 	member        clusterMember                  // nil without a cluster
+	reloads       int                            // that this process has followed; guarded by the mutex of sharedOrders once that is in use
 	gate          routing.Gate                   // enforces the cluster's rules; nil without rules
 	origins       *protocol.OriginConfig         // where calls carry the attributes that rules match
 	enforcer      *enforcement.Enforcer          // nil without rules, as are the fields below
@@ -173,13 +173,14 @@
 	sharedOrders := s.loadOrders()
 	startOrders := sharedOrders.current()
 	s.drained.Store(startOrders.Drained)
+	s.reloads = startOrders.Reloads
 	invariants := invariant.NewMonitor(s.log)
 	router := routing.New(runCtx, routing.Config{
 		Decide:     cfg.Decide,
 		Seed:       cfg.Seed,
 		Names:      cfg.Names,
 		Network:    s.network,
-		Registry:   cfg.Registry,
+		Registry:   s.initialRegistry(),
 		Log:        s.log,
 		Trace:      cfg.Trace,
 		Workers:    &protocol.Workers{Pool: s.pool, Columns: cfg.Decide.Columns, Counters: stats},
@@ -222,6 +223,7 @@
 	adminHandler := &adminHandler{s: s, router: router, stopping: &stopping, stats: stats, orders: sharedOrders}
 	sharedOrders.apply = func(o maintenance.Orders) {
 		s.applyDrained(o.Drained)
+		s.applyReloads(router, o.Reloads)
 		if s.member == nil { // else the cluster's record says which workers are disabled
 			router.SetMaintenance(o.Disabled)
 		}
@@ -239,7 +241,7 @@
 		close(adminDone)
 	}
 
-	signal := <-s.handleSignals(runCtx, signals, router)
+	signal := <-handleSignals(runCtx, signals, adminHandler.reload)
 	exitBy := time.Now().Add(exitTimeout(longestDeadline))
 	stopping.Store(true)
 	startDrain()
@@ -274,15 +276,15 @@
 	}
 }
 
-// handleSignals reloads on each SIGHUP until ctx is done, and returns a channel that gets the first other signal.
-func (s *Sidecar) handleSignals(ctx context.Context, signals <-chan os.Signal, router *routing.Router) <-chan os.Signal {
+// handleSignals calls reload on each SIGHUP until ctx is done, and returns a channel that gets the first other signal.
+func handleSignals(ctx context.Context, signals <-chan os.Signal, reload func()) <-chan os.Signal {
 	stopSignal := make(chan os.Signal, 1)
 	go func() {
 		for {
 			select {
 			case signal := <-signals:
 				if signal == syscall.SIGHUP {
-					s.reload(router)
+					reload()
 					continue
 				}
 				select {
@@ -296,14 +298,3 @@
 	}()
 	return stopSignal
 }
-
-// reload switches to the registry that the file names now. A file with any fault changes nothing.
-func (s *Sidecar) reload(router *routing.Router) {
-	next, err := s.config.Reload()
-	if err != nil {
-		s.log.Error("reload_failed", "err", err)
-		return
-	}
-	s.log.Info("reload", "registry", next.Registry, "needs_restart", strings.Join(s.config.ChangesNeedingRestart(next), ","))
-	router.MoveRegistry(next.Registry)
-}
--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -33,6 +33,7 @@
 	addr       string
 	stateDir   string
 	configPath string
+	registry   string // as the processes' environment names it
 }
 
 func newUpgradedSidecar(t *testing.T, workers string) *upgradedSidecar {
@@ -46,7 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { clients.Close() })
-	return &upgradedSidecar{t: t, clients: clients, addr: ln.Addr().String(), stateDir: t.TempDir(), configPath: writeConfig(t, workers, 256)}
+	return &upgradedSidecar{t: t, clients: clients, addr: ln.Addr().String(), stateDir: t.TempDir(), configPath: writeConfig(t, workers, 256), registry: "127.0.0.1:1"}
 }
 
 // sidecarProcess is one process of an upgradedSidecar.
@@ -67,7 +68,7 @@
 	p := &sidecarProcess{t: u.t, cmd: exec.Command(os.Args[0]), admin: ln.Addr().String(), exited: make(chan struct{})}
 	p.cmd.ExtraFiles = []*os.File{u.clients} // descriptor 3
 	p.cmd.Env = append(os.Environ(), childEnv+"=1", "GORACE=atexit_sleep_ms=0", "EDGE_NAME=n1", "EDGE_LISTEN="+u.addr,
-		"EDGE_DISCOVERY=127.0.0.1:1", "EDGE_CONFIG="+u.configPath, "EDGE_OPERATOR="+p.admin, "EDGE_ACCEPT_FD=3", "TMPDIR="+u.stateDir)
+		"EDGE_DISCOVERY="+u.registry, "EDGE_CONFIG="+u.configPath, "EDGE_OPERATOR="+p.admin, "EDGE_ACCEPT_FD=3", "TMPDIR="+u.stateDir)
 	var log bytes.Buffer
 	p.cmd.Stderr = &log
 	if err := p.cmd.Start(); err != nil {
