A client that reads a long answer slowly but steadily is not cut off

Cause: a write to a client may take 10 s, and one that waits for room ends only once the system has a third of the connection's send buffer free, over 1 MB of the 4 MB that it grows to. At 66 kB a second that takes longer than 10 s.

Change: before a long answer the connection is told to hold at most 128 KiB that are not sent yet (TCP_NOTSENT_LOWAT), so a write ends once half of that has gone. A client that takes nothing is still ended after 10 s.

Rejected: a longer time for a write (a client that has stopped would hold its worker as long); a fixed send buffer (it bounds what may be in flight as well); asking the kernel for unsent bytes each second (a timer and a call for each answer, for the same word).

Hundreds of slow readers at once and their memory: not measured.

Not mended: the same toward a worker that reads a long body slowly. With the limit there the body is given up after some 7 s instead, by the client's time: bytes that wait unread are taken for the end of the message.

--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -183,6 +183,7 @@
 	if c.closing {
 		framing += "Connection: close\r\n"
 	}
+	c.LimitUnsent()
 	out := net.Buffers{[]byte(statusLines[200]), reply.Header, []byte(extra + framing + "\r\n")}
 	piece := reply.Body
 	buf := make([]byte, relayBufferSize)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -56,6 +56,14 @@
 	return err
 }
 
+// LimitUnsent limits what the connection holds for a client that has not taken it yet. It is called before a long response, so
+// that each Send ends in time for a client that reads slowly.
+func (c *Client) LimitUnsent() {
+	if c.socket != nil {
+		limitUnsent(c.socket)
+	}
+}
+
 // CloseWrite shuts down the sending side: the client reads EOF after everything that was sent. It returns
 // errors.ErrUnsupported where the socket layer does not support that.
 func (c *Client) CloseWrite() error {
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -22,6 +22,21 @@
 	Await() error
 }
 
+// maxUnsent is the number of bytes that a connection of a long message may hold for a peer that does not take them yet. A
+// write that waits for the peer continues once half of them have been sent, and so ends within a few seconds even if the peer
+// reads slowly. Without a limit, a write may wait until a peer has taken more than a megabyte.
+const maxUnsent = 128 << 10
+
+// unsentLimiter is implemented by sockets that can hold back writes at maxUnsent.
+type unsentLimiter interface{ LimitUnsent() error }
+
+// limitUnsent limits the unsent bytes of a connection where its socket layer supports that.
+func limitUnsent(s Socket) {
+	if limiter, ok := s.(unsentLimiter); ok {
+		limiter.LimitUnsent() // without the limit, only a peer that reads slowly may be taken for one that has stopped
+	}
+}
+
 // Pending describes what is unread on a client's connection.
 type Pending uint8
 
--- a/internal/transport/system.go
+++ b/internal/transport/system.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // System is the Network of the operating system's TCP sockets.
@@ -89,6 +91,15 @@
 	return PendingEnd
 }
 
+// LimitUnsent implements unsentLimiter.
+func (s *socket) LimitUnsent() error {
+	var set error
+	err := s.raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
+	})
+	return errors.Join(err, set)
+}
+
 // AsSocket returns an accepted connection as a Socket, nil if it is neither a Socket nor a TCP connection.
 func AsSocket(c net.Conn) Socket {
 	if s, ok := c.(Socket); ok {
