A connection whose answer passes when DRAIN comes ends after that answer

Cause: whether a connection ends is decided when its answer's head goes out. DRAIN ends the connections that are idle at that moment; this one was busy, and nobody asked again when it became idle.

Change: a connection that becomes idle looks whether the operators have drained the sidecar, after it has entered the list of idle ones, so that a drain either finds it there or is seen by it. A request that has arrived by then is still answered.

--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -106,9 +106,12 @@
 
 // isDraining reports whether clients should go elsewhere: the sidecar is shutting down, or an operator has drained it.
 func (s *Server) isDraining() bool {
-	return s.Draining.Err() != nil || s.OperatorDrained != nil && s.OperatorDrained.Load()
+	return s.Draining.Err() != nil || s.isOperatorDrained()
 }
 
+// isOperatorDrained reports whether an operator has drained the sidecar.
+func (s *Server) isOperatorDrained() bool { return s.OperatorDrained != nil && s.OperatorDrained.Load() }
+
 // answer writes the final response of a call.
 func (c *client) answer(a Answer) {
 	if c.isDraining() || c.NearLimit() {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -153,12 +153,14 @@
 		c.hadCall = true
 	}
 	c.SetReadBounds(transport.ReadBounds{Until: until, NoRequest: true})
-	if c.Closing.Err() != nil { // a request that has arrived is still answered
-		c.EndIdleWaits()
-	}
 	if !c.Enter(phase) {
 		return false
 	}
+	// Checked after Enter: a drain that begins now finds the connection idle and ends its wait. A request that has arrived is
+	// still answered.
+	if c.Closing.Err() != nil || phase == transport.PhaseIdle && c.isOperatorDrained() {
+		c.EndIdleWaits()
+	}
 	if _, err := c.r.Peek(1); err != nil || !c.Enter(transport.PhaseReading) {
 		return false
 	}
