--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -110,7 +110,9 @@
 }
 
 // isOperatorDrained reports whether an operator has drained the sidecar.
-func (s *Server) isOperatorDrained() bool { return s.OperatorDrained != nil && s.OperatorDrained.Load() }
+func (s *Server) isOperatorDrained() bool {
+	return s.OperatorDrained != nil && s.OperatorDrained.Load()
+}
 
 // answer writes the final response of a call.
 func (c *client) answer(a Answer) {
