A process that cannot read the sidecar's orders is not ready

Change: READY is no until the file has been read once, or there is none, or it is not ours. The process tries again at each interval, and the old process serves meanwhile.

--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -26,8 +26,10 @@
 	clusterOrders *orders.Keeper // maintenance orders of the cluster; nil without a cluster
 }
 
-// Ready reports whether the process serves calls and is not stopping.
-func (h *adminHandler) Ready() bool { return !h.stopping.Load() && h.router.Healthy() }
+// Ready reports whether the process serves calls, knows the sidecar's orders, and is not stopping.
+func (h *adminHandler) Ready() bool {
+	return !h.stopping.Load() && h.router.Healthy() && h.orders.isLoaded()
+}
 
 // Stats returns the call counters as JSON.
 func (h *adminHandler) Stats() []byte {
--- a/internal/program/shared_orders.go
+++ b/internal/program/shared_orders.go
@@ -35,6 +35,7 @@
 	mu            sync.Mutex
 	inForce       maintenance.Orders
 	content       []byte // of the file, as this process last read or wrote it
+	loaded        bool   // the file has been read, or there is none
 	readFailed    bool   // the last read failed, which has been logged
 	restoreFailed bool   // the last attempt to restore the file failed, which has been logged
 }
@@ -44,6 +45,7 @@
 func (s *Sidecar) loadOrders() *sharedOrders {
 	o := &sharedOrders{log: s.log, apply: func(maintenance.Orders) {}}
 	if s.config.StateDir == "" {
+		o.loaded = true
 		return o
 	}
 	o.file = statefile.New(filepath.Join(s.config.StateDir, "burlpass-"+s.config.Name+".maintenance"))
@@ -58,6 +60,13 @@
 	return o.inForce.Clone()
 }
 
+// isLoaded reports whether this process knows the orders that the sidecar was given before it started.
+func (o *sharedOrders) isLoaded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.loaded
+}
+
 // change makes edit change the orders in force, stores them for the other processes, and then applies them here. If edit
 // returns an error, or the orders cannot be stored by the end of ctx, nothing changes and the error is returned: edit's, or
 // errNotSaved.
@@ -142,6 +151,7 @@
 	defer o.mu.Unlock()
 	content, err := o.file.Read()
 	if errors.Is(err, os.ErrNotExist) {
+		o.loaded = true
 		return !o.inForce.IsZero()
 	}
 	if err != nil {
@@ -151,7 +161,7 @@
 		o.readFailed = true
 		return false
 	}
-	o.readFailed = false
+	o.loaded, o.readFailed = true, false
 	o.adoptLocked(content)
 	return false
 }
