A probe with a long answer closes its connection

Seen (read by the review, now shown by a test): a worker answers a probe with more than 64 KiB; the probe ends, the rest is never read, and the connection stays open and counted.

Cause: of a long answer the head decides, and who has it owns the rest. A call closes the rest of an answer that it does not use; a probe did not.

Change: a probe closes the rest; its load report is in the head.

Evidence: TestProbeEndsLongResponse failed before ("open 5s after the probe"), passes now three times; internal/routing passes with the race detector. Calls are the only other users of Workers.Start.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -239,6 +239,9 @@
 		timer := time.AfterFunc(probeTimeout, a.Abort)
 		result := <-a.Done
 		onTime := timer.Stop()
+		if result.Rest != nil { // the load report is in the head
+			result.Rest.Close(false)
+		}
 		switch {
 		case result.Err == nil && a.Reply.Kind == protocol.ReplyServed:
 			event.Status, event.Load = decide.OK, a.Reply.Load
