A client that leaves behind an unread long body gets no further attempt

Cause: the check right before an attempt's first byte may not read the body, which belongs to the message's reader, and an end behind unread bytes is not seen by a peek.

Change: in that state alone the kernel is asked whether the peer has closed (a poll for POLLRDHUP, no wait). Where a socket layer cannot tell, or more bytes stand before the end than the system holds, the answer is as before.

--- a/internal/protocol/disconnect_test.go
+++ b/internal/protocol/disconnect_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"burlpass/internal/transport"
 )
@@ -31,6 +32,44 @@
 	return c, peer
 }
 
+// Guards against an attempt for a client that left behind the bytes of a long body that no attempt has read: review play
+// client-left. The bytes stay for the message's reader.
+func TestDisconnectSeenBehindUnreadBody(t *testing.T) {
+	const unread = 72 << 10
+	for how, end := range map[string]func(*net.TCPConn){
+		"closes":     func(peer *net.TCPConn) { peer.Close() },
+		"ends write": func(peer *net.TCPConn) { peer.CloseWrite() },
+	} {
+		t.Run(how, func(t *testing.T) {
+			c, peer := newClientPair(t)
+			watcher := c.newDisconnectWatcher()
+			watcher.mayReadAhead = false
+			if _, err := io.WriteString(peer, strings.Repeat("x", unread)); err != nil {
+				t.Fatal(err)
+			}
+			for c.Pending() != transport.PendingBytes {
+			}
+			if !watcher.isConnected() {
+				t.Fatal("reported as disconnected while connected")
+			}
+			end(peer.(*net.TCPConn))
+			for start := time.Now(); watcher.isConnected(); {
+				if time.Since(start) > 100*time.Millisecond { // when an attempt for the client may no longer begin
+					t.Fatal("still reported as connected")
+				}
+			}
+			select {
+			case <-watcher.disconnected:
+			default:
+				t.Error("disconnected is not closed")
+			}
+			if n, err := io.Copy(io.Discard, c.Client); err != nil || n != unread {
+				t.Errorf("%d of %d bytes are left for the message's reader: %v", n, unread, err)
+			}
+		})
+	}
+}
+
 // The check right before an attempt's first byte must see a disconnect that the kernel knows of, even if the watching
 // goroutine has not run since; here none is running. Data that was sent before the disconnect makes no difference.
 func TestDisconnectSeenBeforeFirstByte(t *testing.T) {
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -79,9 +79,9 @@
 // disconnectWatcher detects that a client disconnects while a request of its is open. The end of the stream of a client
 // that has sent more data lies behind that data, so the data is read ahead: first into the connection's buffer, then into
 // one of maxReadAhead bytes. Anything beyond that is read and discarded, and the connection ends after the requests that
-// are buffered. This requires only reads from the socket layer. The kernel could be asked for the connection's state
-// instead, but it does not report an end behind more bytes than its receive buffer holds, and not every socket layer
-// answers the question.
+// are buffered. This requires only reads from the socket layer. The kernel is asked for the connection's state only while
+// the request's own message is unread: it does not report an end behind more bytes than its receive buffer holds, and not
+// every socket layer answers the question.
 type disconnectWatcher struct {
 	client       *client
 	disconnected chan struct{} // closed once the client has disconnected
@@ -113,8 +113,11 @@
 		case transport.PendingEnd:
 			w.markDisconnected()
 		case transport.PendingBytes:
-			if !w.mayReadAhead { // the bytes belong to the request's own message, and its reader sees what follows them
-				return true
+			if !w.mayReadAhead { // the bytes belong to the request's own message, which this must not read
+				if w.client.PeerClosed() {
+					w.markDisconnected()
+				}
+				return !w.gone
 			}
 			if err := w.client.readAhead(&w.discarded); err != nil && !isTimeout(err) {
 				w.markDisconnected()
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -110,6 +110,13 @@
 	return PendingEnd
 }
 
+// PeerClosed reports whether the client has closed or reset the connection, even if unread bytes precede that. It returns false
+// where that is unknown, such as when more bytes precede the end than the system holds.
+func (c *Client) PeerClosed() bool {
+	detector, ok := c.socket.(closeDetector)
+	return ok && detector.PeerClosed()
+}
+
 // Await blocks until there is something to read, without reading it. It returns an error if the connection has ended, its
 // read deadline has passed, or the socket layer does not support this wait (errors.ErrUnsupported).
 func (c *Client) Await() error {
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -37,6 +37,10 @@
 	}
 }
 
+// closeDetector is implemented by sockets that can tell, without reading, that the end of the connection has arrived behind
+// unread bytes.
+type closeDetector interface{ PeerClosed() bool }
+
 // Pending describes what is unread on a client's connection.
 type Pending uint8
 
--- a/internal/transport/system.go
+++ b/internal/transport/system.go
@@ -91,6 +91,18 @@
 	return PendingEnd
 }
 
+// PeerClosed implements closeDetector.
+func (s *socket) PeerClosed() bool {
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	closed := false
+	s.raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(state, 0)
+		closed = err == nil && state[0].Revents&ended != 0
+	})
+	return closed
+}
+
 // LimitUnsent implements unsentLimiter.
 func (s *socket) LimitUnsent() error {
 	var set error
