--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -189,30 +189,8 @@
 		Invariants: invariants,
 	}, cfg.Known)
 	s.router.Store(router)
-	retryAfter := time.Duration(0)
-	if cfg.Decide.Limits.RetryAfter {
-		retryAfter = min(earlyRefusalRetryAfter, cfg.Decide.Limits.MaxRetryAfter)
-	}
-	classWorths := make([]float64, len(cfg.Decide.Classes))
-	longestDeadline := time.Duration(0)
-	for i, class := range cfg.Decide.Classes {
-		classWorths[i] = class.Worth
-		longestDeadline = max(longestDeadline, class.Deadline)
-	}
-	server := &protocol.Server{
-		Handler:         router,
-		Classes:         cfg.Names.Classes,
-		Worth:           classWorths,
-		MaxDeadline:     longestDeadline,
-		Advice:          retryAfter,
-		Draining:        drainCtx,
-		Closing:         closeCtx,
-		OperatorDrained: &s.drained,
-		Counters:        stats,
-		OriginConfig:    s.origins,
-		Log:             s.log,
-		Invariants:      invariants,
-	}
+	server := s.newServer(router, stats, invariants)
+	server.Draining, server.Closing = drainCtx, closeCtx
 	acceptDone := make(chan struct{})
 	go func() {
 		defer close(acceptDone)
@@ -242,7 +220,7 @@
 	}
 
 	signal := <-handleSignals(runCtx, signals, adminHandler.reload)
-	exitBy := time.Now().Add(exitTimeout(longestDeadline))
+	exitBy := time.Now().Add(exitTimeout(server.MaxDeadline))
 	stopping.Store(true)
 	startDrain()
 	s.log.Info("drain", "signal", signal.String()) // from now on every response asks the client to reconnect elsewhere
@@ -276,6 +254,33 @@
 	}
 }
 
+// newServer returns the server of clients' calls, without the contexts of its shutdown.
+func (s *Sidecar) newServer(router *routing.Router, stats *protocol.Counters, invariants *invariant.Monitor) *protocol.Server {
+	cfg := s.config
+	retryAfter := time.Duration(0)
+	if cfg.Decide.Limits.RetryAfter {
+		retryAfter = min(earlyRefusalRetryAfter, cfg.Decide.Limits.MaxRetryAfter)
+	}
+	classWorths := make([]float64, len(cfg.Decide.Classes))
+	longestDeadline := time.Duration(0)
+	for i, class := range cfg.Decide.Classes {
+		classWorths[i] = class.Worth
+		longestDeadline = max(longestDeadline, class.Deadline)
+	}
+	return &protocol.Server{
+		Handler:         router,
+		Classes:         cfg.Names.Classes,
+		Worth:           classWorths,
+		MaxDeadline:     longestDeadline,
+		Advice:          retryAfter,
+		OperatorDrained: &s.drained,
+		Counters:        stats,
+		OriginConfig:    s.origins,
+		Log:             s.log,
+		Invariants:      invariants,
+	}
+}
+
 // handleSignals calls reload on each SIGHUP until ctx is done, and returns a channel that gets the first other signal.
 func handleSignals(ctx context.Context, signals <-chan os.Signal, reload func()) <-chan os.Signal {
 	stopSignal := make(chan os.Signal, 1)
