--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -170,8 +170,8 @@
 	}
 }
 
-// orderMoments are the moments of an upgrade at which an operator gives an order. Each returns the process that gets the
-// order and the process that runs on, and has the order given in between.
+// orderMoments are the moments of an upgrade at which an operator gives an order. Each function upgrades the sidecar, calls
+// order with the process that gets the order, and returns the process that runs on.
 var orderMoments = map[string]func(u *upgradedSidecar, order func(*sidecarProcess)) (last *sidecarProcess){
 	"before the new process starts": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
 		first := u.startReady()
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -23,8 +23,8 @@
 }
 
 // maxUnsent is the number of bytes that a connection of a long message may hold for a peer that does not take them yet. A
-// write that waits for the peer continues once half of them have been sent, and so ends within a few seconds even if the peer
-// reads slowly. Without a limit, a write may wait until a peer has taken more than a megabyte.
+// write that waits for the peer continues once half of them have been sent, so that it does not wait long for a peer that reads
+// slowly.
 const maxUnsent = 128 << 10
 
 // unsentLimiter is implemented by sockets that can hold back writes at maxUnsent.
