One library and one function for locks and replaced files

Change: the voter's lock is taken with the library, with the same time and the same text where another process holds it; statefile.Replace serves the pending orders of a cluster too. writeFileAtomic and the loop are gone.

Measured: internal/cluster/voter (60 s, its refusal of a folder in use among it), disk, link and statefile pass with the race detector; of internal/program the cluster's and the orders' tests; the guest builds.

--- a/internal/cluster/voter/disk/disk.go
+++ b/internal/cluster/voter/disk/disk.go
@@ -4,6 +4,7 @@
 package disk
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -11,9 +12,9 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/gofrs/flock"
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 )
@@ -27,7 +28,10 @@
 	newSuffix    = ".new"
 )
 
-const lockTimeout = time.Second // leaves time for a process that is just ending
+const (
+	lockTimeout    = time.Second // leaves time for a process that is just ending
+	lockRetryDelay = 20 * time.Millisecond
+)
 
 // ErrDamaged means that the disk returns other data than was written, or cannot be written.
 var ErrDamaged = errors.New("damaged")
@@ -38,7 +42,7 @@
 	Snapshots *Snapshots // nil if damaged
 
 	folder   string
-	lock     *os.File
+	lock     *flock.Flock
 	identity atomic.Pointer[Identity]
 }
 
@@ -87,23 +91,20 @@
 	return os.Remove(probe.Name())
 }
 
-// acquireLock opens and locks a file. The lock lasts until the file is closed, and excludes another Disk of the same process
-// too.
-func acquireLock(path string) (*os.File, error) {
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+// acquireLock opens and locks a file. The lock lasts until it is closed, and excludes another Disk of the same process too.
+func acquireLock(path string) (*flock.Flock, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), lockTimeout)
+	defer cancel()
+	lock := flock.New(path, flock.SetPermissions(0o600))
+	_, err := lock.TryLockContext(ctx, lockRetryDelay)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = fmt.Errorf("%s: another process uses this folder: %w", path, err)
+	}
 	if err != nil {
+		lock.Close()
 		return nil, err
 	}
-	for start := time.Now(); ; time.Sleep(20 * time.Millisecond) {
-		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-		if err == nil {
-			return f, nil
-		}
-		if !errors.Is(err, syscall.EWOULDBLOCK) && !errors.Is(err, syscall.EINTR) || time.Since(start) > lockTimeout {
-			f.Close()
-			return nil, fmt.Errorf("%s: another process uses this folder: %w", path, err)
-		}
-	}
+	return lock, nil
 }
 
 // loadIdentity reads the identity, or creates one if the folder is empty.
--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"path/filepath"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"burlpass/internal/maintenance"
 	"burlpass/internal/operator"
 	"burlpass/internal/orders"
@@ -94,11 +91,6 @@
 	})
 }
 
-// writeFileAtomic replaces a file: a reader sees the old or the new content, never a part.
-func writeFileAtomic(path string, b []byte) error {
-	return renameio.WriteFile(path, b, 0o600, renameio.WithTempDir(filepath.Dir(path)))
-}
-
 // Drain steers clients away from all processes of this sidecar until Undrain.
 func (h *adminHandler) Drain() error { return h.setDrained(true) }
 
--- a/internal/program/cluster.go
+++ b/internal/program/cluster.go
@@ -12,6 +12,7 @@
 	"burlpass/internal/maintenance"
 	"burlpass/internal/operator"
 	"burlpass/internal/orders"
+	"burlpass/internal/statefile"
 )
 
 // clusterMember is this process's membership in a cluster.
@@ -40,7 +41,7 @@
 			s.log.Info("maintenance", "out", set.WorkerIDs(), "halls", set.Zones())
 		},
 		Load: func() ([]byte, error) { return os.ReadFile(s.ordersPath()) },
-		Save: func(b []byte) error { return writeFileAtomic(s.ordersPath(), b) },
+		Save: func(b []byte) error { return statefile.Replace(s.ordersPath(), b) },
 	})
 	go handler.clusterOrders.Run(ctx)
 }
--- a/internal/statefile/statefile.go
+++ b/internal/statefile/statefile.go
@@ -73,8 +73,13 @@
 	if current != nil && bytes.Equal(next, current) {
 		return nil
 	}
-	if err := renameio.WriteFile(f.path, next, fileMode, renameio.WithTempDir(filepath.Dir(f.path))); err != nil {
-		return &Error{"replace", f.path, err}
+	return Replace(f.path, next)
+}
+
+// Replace replaces the content of a file that one process alone changes.
+func Replace(path string, content []byte) error {
+	if err := renameio.WriteFile(path, content, fileMode, renameio.WithTempDir(filepath.Dir(path))); err != nil {
+		return &Error{"replace", path, err}
 	}
 	return nil
 }
