Tests of an upgrade: its moments as data, the lock's test without processes of its own

The seven moments were seven functions of the same shape; they are rows now. The check of late calls is stricter: the last call that the disabled worker got counts, also one from before the test knew of the order's time. TestConcurrentUpdates started processes to hold a lock that excludes two files of one process as well; the case with processes is TestTwoProcessesOrderAtOnce.

--- a/internal/program/upgrade_drain_test.go
+++ b/internal/program/upgrade_drain_test.go
@@ -44,15 +44,11 @@
 // Guards against a process that takes in clients although the operators have drained the sidecar at another process: review
 // play drain-upgrade, in which the order came while the new process of an upgrade started.
 func TestDrainHoldsAtEveryProcess(t *testing.T) {
-	for name, upgrade := range orderMoments {
+	for name, moment := range orderMoments {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			u := newUpgradedSidecar(t, "127.0.0.1:1")
-			var ordered time.Time
-			last := upgrade(u, func(p *sidecarProcess) {
-				p.order("DRAIN")
-				ordered = time.Now()
-			})
+			last, ordered := u.upgrade(moment, "DRAIN")
 			u.expectHealth(http.StatusServiceUnavailable, ordered)
 			next := u.startReady()
 			u.expectHealth(http.StatusServiceUnavailable, ordered)
--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -170,71 +170,63 @@
 	}
 }
 
-// orderMoments are the moments of an upgrade at which an operator gives an order. Each function upgrades the sidecar, calls
-// order with the process that gets the order, and returns the process that runs on.
-var orderMoments = map[string]func(u *upgradedSidecar, order func(*sidecarProcess)) (last *sidecarProcess){
-	"before the new process starts": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first := u.startReady()
-		order(first)
-		second := u.startReady()
-		first.stop()
-		return second
-	},
-	"at the old process while the new one starts": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first := u.startReady()
-		second := u.start()
-		order(first)
-		second.awaitReady()
-		first.stop()
-		return second
-	},
-	"at the old process beside the new one": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first, second := u.startReady(), u.startReady()
-		order(first)
-		first.stop()
-		return second
-	},
-	"at the new process beside the old one": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first, second := u.startReady(), u.startReady()
-		order(second)
-		first.stop()
-		return second
-	},
-	"at the old process after its SIGTERM": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first, second := u.startReady(), u.startReady()
-		first.stop()
-		order(first)
-		return second
-	},
-	"at the new process after the old one's SIGTERM": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first, second := u.startReady(), u.startReady()
-		first.stop()
-		order(second)
-		return second
-	},
-	"at the first of three processes": func(u *upgradedSidecar, order func(*sidecarProcess)) *sidecarProcess {
-		first, second, third := u.startReady(), u.startReady(), u.startReady()
-		first.stop()
-		order(first)
-		second.stop()
-		return third
-	},
+// orderMoment is a moment of an upgrade at which an operator gives an order.
+type orderMoment struct {
+	ready    int  // processes that are ready
+	starting bool // one more has been started
+	stopped  int  // of the ready ones, the oldest, have got SIGTERM
+	at       int  // the ready process that gets the order
+}
+
+var orderMoments = map[string]orderMoment{
+	"before the new process starts":                  {ready: 1},
+	"at the old process while the new one starts":    {ready: 1, starting: true},
+	"at the old process beside the new one":          {ready: 2},
+	"at the new process beside the old one":          {ready: 2, at: 1},
+	"at the old process after its SIGTERM":           {ready: 2, stopped: 1},
+	"at the new process after the old one's SIGTERM": {ready: 2, stopped: 1, at: 1},
+	"at the first of three processes":                {ready: 3, stopped: 1},
+}
+
+// upgrade upgrades the sidecar and gives the order at the moment. It returns the process that runs on, and when the order was
+// acknowledged.
+func (u *upgradedSidecar) upgrade(m orderMoment, order string) (last *sidecarProcess, ordered time.Time) {
+	var processes []*sidecarProcess
+	for range m.ready {
+		processes = append(processes, u.startReady())
+	}
+	if m.starting {
+		processes = append(processes, u.start())
+	}
+	for _, p := range processes[:m.stopped] {
+		p.stop()
+	}
+	processes[m.at].order(order)
+	ordered = time.Now()
+	if len(processes) == 1 {
+		processes = append(processes, u.start())
+	}
+	last = processes[len(processes)-1]
+	last.awaitReady()
+	for _, p := range processes[m.stopped : len(processes)-1] {
+		p.stop()
+	}
+	return last, ordered
 }
 
 // Guards against a worker that one process of a sidecar was told to leave out, and that another process goes on using: review
 // case 3, in which the order came while the new process of an upgrade started.
 func TestDisableHoldsAtEveryProcess(t *testing.T) {
-	for name, upgrade := range orderMoments {
+	for name, moment := range orderMoments {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var disabledAt atomic.Int64 // in Unix nanoseconds, 0 before the order
-			var calls, lateCalls atomic.Int64
+			var calls, lastCall atomic.Int64 // at either worker, and when s0 got its last, in Unix nanoseconds
 			workers := make([]string, 2)
 			for i := range workers {
 				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					calls.Add(1)
-					if at := disabledAt.Load(); i == 0 && at != 0 && time.Since(time.Unix(0, at)) > orderBound {
-						lateCalls.Add(1)
+					if i == 0 {
+						lastCall.Store(time.Now().UnixNano())
 					}
 					io.WriteString(w, failureTestResponse)
 				}))
@@ -243,12 +235,7 @@
 			}
 			u := newUpgradedSidecar(t, strings.Join(workers, ","))
 			stopClients := u.startClients(2)
-			var ordered time.Time
-			last := upgrade(u, func(p *sidecarProcess) {
-				p.order("DISABLE s0")
-				ordered = time.Now()
-				disabledAt.Store(ordered.UnixNano())
-			})
+			last, ordered := u.upgrade(moment, "DISABLE s0")
 			last.expectDown(1, ordered)
 			time.Sleep(time.Until(ordered.Add(2 * orderBound)))
 			before := calls.Load()
@@ -257,8 +244,8 @@
 				t.Error("no call came through after the order")
 			}
 			stopClients()
-			if n := lateCalls.Load(); n > 0 {
-				t.Errorf("the disabled worker got %d calls after the grace", n)
+			if after := time.Unix(0, lastCall.Load()).Sub(ordered); after > orderBound {
+				t.Errorf("the disabled worker got a call %v after the order", after)
 			}
 			next := u.startReady()
 			next.expectDown(1, time.Now())
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -13,70 +11,29 @@
 	"time"
 )
 
-// writerEnv makes the test binary append lines to the file that it names; the value is "PREFIX PATH".
-const writerEnv = "BURLPASS_TEST_WRITER"
-
-const linesPerWriter = 50
-
-func TestMain(m *testing.M) {
-	if prefix, path, isWriter := strings.Cut(os.Getenv(writerEnv), " "); isWriter {
-		for i := range linesPerWriter {
-			if err := appendLine(New(path), prefix+strconv.Itoa(i)); err != nil {
-				fmt.Fprintln(os.Stderr, err)
-				os.Exit(1)
-			}
-		}
-		return
-	}
-	os.Exit(m.Run())
-}
-
 func appendLine(f *File, line string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	return f.Update(ctx, func(current []byte) ([]byte, error) {
+	return f.Update(context.Background(), func(current []byte) ([]byte, error) {
 		return append(current, line+"\n"...), nil
 	})
 }
 
-// Several processes, and several goroutines of one, change the file at once: no change is lost.
+// Changes made at once are all kept. Each comes from a File of its own, whose lock excludes the others as those of other
+// processes do.
 func TestConcurrentUpdates(t *testing.T) {
+	const changes = 100
 	path := filepath.Join(t.TempDir(), "state")
-	var writers []*exec.Cmd
-	for _, prefix := range []string{"a", "b", "c"} {
-		writer := exec.Command(os.Args[0])
-		writer.Env = append(os.Environ(), writerEnv+"="+prefix+" "+path)
-		writer.Stderr = os.Stderr
-		if err := writer.Start(); err != nil {
-			t.Fatal(err)
-		}
-		writers = append(writers, writer)
+	results := make(chan error)
+	for i := range changes {
+		go func() { results <- appendLine(New(path), strconv.Itoa(i)) }()
 	}
-	own := make(chan error)
-	file := New(path)
-	for i := range linesPerWriter {
-		go func() { own <- appendLine(file, "own"+strconv.Itoa(i)) }()
-	}
-	for range linesPerWriter {
-		if err := <-own; err != nil {
-			t.Error(err)
-		}
-	}
-	for _, writer := range writers {
-		if err := writer.Wait(); err != nil {
+	for range changes {
+		if err := <-results; err != nil {
 			t.Error(err)
 		}
 	}
-	content, err := file.Read()
-	if err != nil {
-		t.Fatal(err)
-	}
-	seen := map[string]bool{}
-	for line := range strings.Lines(string(content)) {
-		seen[line] = true
-	}
-	if want := linesPerWriter * (len(writers) + 1); len(seen) != want {
-		t.Errorf("%d of %d changes are in the file", len(seen), want)
+	content, err := New(path).Read()
+	if lines := strings.Fields(string(content)); err != nil || len(lines) != changes {
+		t.Errorf("%d of %d changes are in the file, %v", len(lines), changes, err)
 	}
 }
 
