Orders are read again only where another process may serve, half as often

Change: a process follows the file from its start only where it took over the clients' socket, since without that no second process can listen; elsewhere from SIGTERM on. Four times within the grace leave the same rule kept: 0.19 s of 0.75 s. READY reads the file itself while it is not known, as there may be no loop.

The tests of upgrades, orders and the state directory pass twice with the race detector.

--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -49,9 +49,6 @@
 // Out reports whether a worker is disabled by ID.
 func (s *Set) Out(id string) bool { return s.workers[id] }
 
-// Len returns the number of disabled workers and zones.
-func (s *Set) Len() int { return len(s.workers) + len(s.zones) }
-
 // Equal reports whether both sets hold the same workers and zones.
 func (s *Set) Equal(other *Set) bool {
 	return maps.Equal(s.workers, other.workers) && maps.Equal(s.zones, other.zones)
--- a/internal/maintenance/orders.go
+++ b/internal/maintenance/orders.go
@@ -14,7 +14,7 @@
 }
 
 // IsZero reports whether no order is in force.
-func (o *Orders) IsZero() bool { return o.Disabled.Len() == 0 && !o.Drained && o.Reloads == 0 }
+func (o *Orders) IsZero() bool { return o.Equal(&Orders{}) }
 
 // Equal reports whether both are the same orders.
 func (o *Orders) Equal(other *Orders) bool {
--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -25,7 +25,7 @@
 
 // Ready reports whether the process serves calls, knows the sidecar's orders, and is not stopping.
 func (h *adminHandler) Ready() bool {
-	return !h.stopping.Load() && h.router.Healthy() && h.orders.isLoaded()
+	return !h.stopping.Load() && h.router.Healthy() && h.orders.load()
 }
 
 // Stats returns the call counters as JSON.
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -207,7 +207,10 @@
 		}
 	}
 	s.startOrders(runCtx, adminHandler, startOrders.Disabled)
-	go sharedOrders.follow(runCtx, followInterval(cfg.Decide.Safety.DrainGrace))
+	follow := func() { go sharedOrders.follow(runCtx, followInterval(cfg.Decide.Safety.DrainGrace)) }
+	if cfg.Inherit { // else no other process can serve before this one has stopped listening
+		follow()
+	}
 	stopRules := s.startRules()
 	if s.adminListener != nil {
 		adminListener := &operator.Listener{Log: s.log, Handler: adminHandler}
@@ -222,6 +225,9 @@
 	signal := <-handleSignals(runCtx, signals, adminHandler.reload)
 	exitBy := time.Now().Add(exitTimeout(server.MaxDeadline))
 	stopping.Store(true)
+	if !cfg.Inherit {
+		follow()
+	}
 	startDrain()
 	s.log.Info("drain", "signal", signal.String()) // from now on every response asks the client to reconnect elsewhere
 	s.listener.EndBy(exitBy.Add(finalWritePeriod))
--- a/internal/program/shared_orders.go
+++ b/internal/program/shared_orders.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	followsPerGrace   = 8 // how often within the grace on drains the file is read, so that every process keeps that grace
+	followsPerGrace   = 4 // how often within the grace on drains the file is read, so that every process keeps that grace
 	minFollowInterval = 10 * time.Millisecond
-	maxFollowInterval = 100 * time.Millisecond
+	maxFollowInterval = 250 * time.Millisecond
 )
 
 // errNotSaved refuses an order that could not be persisted for the other processes of the sidecar.
@@ -60,7 +60,15 @@
 	return o.inForce.Clone()
 }
 
-// isLoaded reports whether this process knows the orders that the sidecar was given before it started.
+// load reports whether this process knows the orders that the sidecar was given before it started. If it does not, it reads
+// the file again.
+func (o *sharedOrders) load() bool {
+	if !o.isLoaded() {
+		o.readAndAdopt()
+	}
+	return o.isLoaded()
+}
+
 func (o *sharedOrders) isLoaded() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -123,7 +131,7 @@
 	o.inForce = orders
 	o.apply(orders.Clone())
 	o.log.Info("maintenance", "out", strings.Join(orders.Disabled.WorkerIDs(), ","), "halls", strings.Join(orders.Disabled.Zones(), ","),
-		"drained", orders.Drained)
+		"drained", orders.Drained, "reloads", orders.Reloads)
 }
 
 // follow applies the orders given at the sidecar's other processes until ctx is done.
--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -303,6 +303,10 @@
 	processes[1].order("ENABLE s0") // which the other process disabled
 	ordered = time.Now()
 	processes[0].expectDown(workers-1, ordered)
+	processes[0].order("DISABLE-HALL hall-a")
+	processes[1].expectDown(workers, time.Now())
+	processes[1].order("ENABLE-HALL hall-a")
+	processes[0].expectDown(workers-1, time.Now())
 	processes[0].stop()
 	processes[0].awaitExit()
 	processes[1].stop()
