Test network of routing: a dial ends with its context

The tests' network sends each dialed address into a buffer of eight and looked at no context there; a watch that keeps failing fills it in 7 to 20 s, and its goroutine then stays in Dial for good. With a test held open for 50 s the check shows that same stack. Change: the send ends with the context. New test, seen failing before (30 s).

--- a/internal/routing/concurrent_attempts_test.go
+++ b/internal/routing/concurrent_attempts_test.go
@@ -23,12 +23,17 @@
 	dials chan string
 }
 
-// Dial waits for the gate of an address, if it has one, and connects.
+// Dial waits for the gate of an address, if it has one, and connects. It gives up once ctx is done, also while nobody
+// receives from dials, whose buffer the retries of a watch fill within seconds.
 func (g *gatedNetwork) Dial(ctx context.Context, addr string) (transport.Socket, error) {
 	g.mu.Lock()
 	opened := g.gates[addr]
 	g.mu.Unlock()
-	g.dials <- addr
+	select {
+	case g.dials <- addr:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if opened != nil {
 		select {
 		case <-opened:
@@ -39,6 +44,21 @@
 	return g.System.Dial(ctx, addr)
 }
 
+// Guards against a dial that outlives its router, which the check for leaked goroutines reports for the whole package.
+func TestGatedDialEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	network := &gatedNetwork{dials: make(chan string)}
+	dialed := make(chan error, 1)
+	go func() {
+		_, err := network.Dial(ctx, "127.0.0.1:1")
+		dialed <- err
+	}()
+	cancel()
+	if err := receive(t, dialed); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want %v", err, context.Canceled)
+	}
+}
+
 // plainMessage is a minimal HTTP request.
 type plainMessage struct{}
 
