Limits: the log tells that a lease is returned, so that the judge ends it there

Cause: a process logs each amount that it goes by, also when it gives a part back, but nothing when it returns all of them at its end. The judge is right about what it is told.

Change: the return is logged as the amount 0, before it is sent. The judge is unchanged: a lease ends where its holder says so, one that is not returned counts to its end, and a call let in after the return counts as one without a lease (TestWithout, "a lease of nothing").

--- a/internal/clustertest/leases/leases_test.go
+++ b/internal/clustertest/leases/leases_test.go
@@ -23,6 +23,8 @@
 		"used after its end":     {[]Lease{of("a", 100, s, 4*s+1), of("b", 100, 4*s, 7*s)}, whole, []int64{4 * s}},
 		"renewed":                {[]Lease{of("a", 100, s, 4*s), of("a", 100, 2*s, 5*s), of("b", 1, 4*s, 7*s)}, whole, []int64{4 * s}},
 		"given up":               {[]Lease{of("a", 100, s, 4*s), of("a", 10, 2*s, 4*s), of("b", 90, 2*s, 5*s)}, whole, nil},
+		"returned at the end":    {[]Lease{of("a", 100, s, 4*s), of("a", 0, 2*s, 4*s), of("b", 100, 2*s, 5*s)}, whole, nil},
+		"returned too late":      {[]Lease{of("a", 100, s, 4*s), of("a", 0, 2*s+1, 4*s), of("b", 100, 2*s, 5*s)}, whole, []int64{2 * s}},
 		"started again":          {[]Lease{of("a/1", 100, s, 4*s), of("a/2", 100, 3*s, 6*s)}, whole, []int64{3 * s}},
 		"told after its end":     {[]Lease{of("a", 60, s, 4*s), of("a", 50, 5*s, 4*s), of("b", 100, 5*s, 7*s)}, whole, nil},
 		"never set":              {[]Lease{of("a", 1, s, 2*s)}, nil, []int64{s}},
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -113,6 +113,9 @@
 	if !strings.Contains(logs.String(), "msg=lease limit=nothing holder="+l.Holder()+" amount=") || !strings.Contains(logs.String(), "msg=lease_ended limit=nothing") {
 		t.Error("the log lacks the begin or the end of a lease:\n" + logs.String())
 	}
+	if !strings.Contains(logs.String(), "msg=lease limit=nothing holder="+l.Holder()+" amount=0 ") {
+		t.Error("the log does not tell that the lease was returned:\n" + logs.String())
+	}
 }
 
 // countAdmitted returns how many of 20 concurrent calls are admitted.
--- a/internal/limits/run.go
+++ b/internal/limits/run.go
@@ -173,6 +173,11 @@
 func (l *Limits) releaseAll() {
 	l.mu.Lock()
 	at, now, wall := l.readClocks()
+	for _, b := range l.buckets {
+		if b.leased {
+			l.logLease(b, now, 0)
+		}
+	}
 	ask := l.holder.Leave(now, wall, func(h *lease.Held) lease.Use {
 		return lease.Use{Under: l.buckets[h.ID].inFlight, Most: 0}
 	})
