Scenarios build a client's message before they connect

Cause: the scenario connected first and then built its message of 32 MiB, which takes over 1 s with the race detector. The sidecar rightly closes a connection that has sent nothing for 2.2 s. The scenario takes a closed connection for no error, so the request was never sent. Seen in the failing runs: no call counted, no answer, no goroutine of the client. With 1.5 s more between connecting and sending the test fails each time.

Change: the message is built first. Nothing is asked less of the sidecar.

--- a/internal/program/scenario_test.go
+++ b/internal/program/scenario_test.go
@@ -238,6 +238,7 @@
 		}
 		return os.WriteFile(st.configPath, []byte(text), 0o600)
 	}
+	message := st.formatMessage(who, what) // before connecting: the sidecar closes a connection that sends nothing
 	p := st.peers[who]
 	if p == nil {
 		conn, err := net.Dial("tcp", st.addr)
@@ -248,25 +249,27 @@
 		st.peers[who] = p
 		go p.read(readResponse, nil)
 	}
-	raw, err := strconv.Unquote(what)
-	raw = expandFiller(raw)
-	if err != nil {
-		switch {
-		case who == "registry", who == "next":
-			raw = formatResponse("200 " + st.registryJSON(what))
-		case who[0] == 'w':
-			raw = formatResponse(what)
-		default:
-			raw = formatCall(what)
-		}
-	}
-	_, err = io.WriteString(p, raw)
+	_, err := io.WriteString(p, message)
 	if errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) {
 		return nil // the sidecar closed it; the script checks that where it matters
 	}
 	return err
 }
 
+// formatMessage returns the bytes that a peer sends: quoted text verbatim, or else the short form of its kind of message.
+func (st *scenarioRun) formatMessage(who, what string) string {
+	raw, err := strconv.Unquote(what)
+	switch {
+	case err == nil:
+		return expandFiller(raw)
+	case who == "registry", who == "next":
+		return formatResponse("200 " + st.registryJSON(what))
+	case who[0] == 'w':
+		return formatResponse(what)
+	}
+	return formatCall(what)
+}
+
 func (st *scenarioRun) expect(who, what string) error {
 	late := time.After(scenarioTimeout)
 	if who == "state" { // the file of the workers that operators disabled
