Test of metrics: the scrape waits for the handler that counts entries

Entries are counted once the response has been flushed, so that a failed send isn't counted; a caller may scrape the metrics between the two. The test now waits until the handlers have returned; the figures it asks for are the same.

--- a/internal/cluster/api/server_test.go
+++ b/internal/cluster/api/server_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -133,7 +134,13 @@
 func TestReadsAndMetrics(t *testing.T) {
 	v := apitest.NewVoter("a", 0)
 	v.Age.Store(int64(1500 * time.Millisecond))
-	addr, _ := apitest.Serve(t, v.Handler(api.Options{}))
+	var handlers sync.WaitGroup
+	handler := v.Handler(api.Options{})
+	addr, _ := apitest.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handlers.Add(1)
+		defer handlers.Done()
+		handler.ServeHTTP(w, r)
+	}))
 	c := newClientFor(t, addr)
 	if _, err := c.Write(t.Context(), apitest.DisableOrder("x1", "first", 0)); err != nil {
 		t.Fatal(err)
@@ -156,6 +163,7 @@
 	if _, err := c.Entries(t.Context(), api.EntriesRequest{Name: "o1", SilenceTimeout: time.Second}); err != nil {
 		t.Error(err)
 	}
+	handlers.Wait() // entries are counted once they have been sent, which the caller may notice first
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + addr + "/metrics")
 	if err != nil {
 		t.Fatal(err)
