A call that has been read as its connection is evicted gets its answer

A client that sent its call on a new connection, 11 us after connecting, saw the connection closed with no answer some 0.3 s later.

Cause: a connection may be evicted if its goroutine is blocked in a read and the kernel holds no bytes. Both are still so when the read has taken the call's bytes and the goroutine has not run since, as in a process that is paused just then. The evicting goroutine then closed the connection, and the call that had been read was dropped. The trace fits: connected, sent and closed 317 and 343 ms later, a pause of the process being 300 ms.

Now only the goroutine that serves a connection closes it: eviction ends its wait, and a call that it has just read is answered, with Connection: close, because another connection has its place. Rejected connections are closed as before.

--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -20,7 +20,7 @@
 	phase         Phase       // guarded by the listener's mutex, like the fields below
 	phaseSince    time.Time
 	phaseElement  *list.Element // position in the list of its phase, nil while PhaseBusy
-	evicted       bool          // closed to make room for another connection
+	evicted       bool          // to be closed to make room for another connection, unless a call has arrived
 	uncounted     bool          // no longer counted as open: it has been or is being evicted
 }
 
@@ -149,11 +149,15 @@
 	return c.phaseSince
 }
 
-// Enter moves the connection to a phase. It returns false if the connection has been closed to make room for another.
+// Enter moves the connection to a phase. It returns false if the connection is to be closed to make room for another. The first
+// byte of a call, PhaseReading, comes before that: the call is answered.
 func (c *Client) Enter(phase Phase) bool {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if phase == PhaseReading {
+		c.evicted = false
+	}
 	if c.evicted {
 		return false
 	}
@@ -165,13 +169,13 @@
 	return true
 }
 
-// NearLimit reports whether so many connections are busy, reading or idle that this one should not be kept alive after its
-// response. New and lingering connections do not count: they are closed soon in any case.
+// NearLimit reports whether this connection should not be kept alive after its response: another one has its place, or too many
+// connections are busy, reading or idle. New and lingering connections do not count: they are closed soon in any case.
 func (c *Client) NearLimit() bool {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return float64(l.openCount-l.byPhase[PhaseNew].Len()-l.byPhase[PhaseLingering].Len()) > nearLimitShare*float64(l.limit)
+	return c.uncounted || float64(l.openCount-l.byPhase[PhaseNew].Len()-l.byPhase[PhaseLingering].Len()) > nearLimitShare*float64(l.limit)
 }
 
 // DescriptorNeeded reports whether the connection's descriptor is needed for another connection.
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -291,20 +291,25 @@
 	return wait
 }
 
-// evictClient ends a connection without a call and no longer counts it as open. If part of a request has arrived, its read
-// is interrupted so that the client gets a response first; otherwise it is closed. The caller holds l.mu.
+// evictClient ends a connection without a call and no longer counts it as open. Where a request may arrive, only the serving
+// goroutine closes the connection, after its read has been interrupted: it alone knows whether it has just read one, which is
+// answered first. The caller holds l.mu.
 func (l *Listener) evictClient(c *Client) {
 	l.leavePhase(c)
 	if !c.uncounted {
 		c.uncounted = true
 		l.openCount--
 	}
-	if c.phase == PhaseReading {
+	switch c.phase {
+	case PhaseReading:
 		c.InterruptRead()
-		return
+	case PhaseLingering:
+		c.evicted = true
+		c.Close()
+	default:
+		c.evicted = true
+		c.EndIdleWaits()
 	}
-	c.evicted = true
-	c.Close()
 }
 
 // release closes a served connection and frees its slot.
