Eviction: health checks announce the close, one way to interrupt a read

Found on rereading. A health check that had been read as its connection was evicted got its answer without Connection: close, and the connection ended after it. Answers of calls and rejections ask whether the connection is near the limit; health checks did not. Two cases more of TestEvictionAnswersCallBeingRead failed before (closes false) and pass now.

Also: the flag evicted follows from the phase and from what is counted, so it is gone; Enter can no longer fail, and the branches for that were dead; new, idle and reading connections are interrupted in the same way. internal/protocol and internal/transport pass with the race detector.

--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -79,7 +79,11 @@
 	if c.Closing.Err() != nil { // the process exits: a client that sends on a half-closed connection has nobody left to retry with
 		return
 	}
-	if c.broken || !c.Enter(transport.PhaseLingering) || c.CloseWrite() != nil {
+	if c.broken || c.Evicted() {
+		return
+	}
+	c.Enter(transport.PhaseLingering)
+	if c.CloseWrite() != nil {
 		return
 	}
 	wait := lingerTimeout
@@ -97,6 +101,7 @@
 }
 
 func (c *client) answerHealthCheck() {
+	c.closing = c.closing || c.NearLimit()
 	if c.Handler.Healthy() && !c.isDraining() {
 		c.writeResponse(200, nil, "", []byte("ok"))
 	} else {
--- a/internal/protocol/eviction_test.go
+++ b/internal/protocol/eviction_test.go
@@ -81,8 +81,8 @@
 	return &testClient{conn, bufio.NewReader(conn)}
 }
 
-func (c *testClient) send(id string) {
-	fmt.Fprintf(c, "GET /a/x HTTP/1.1\r\nX-Trace-Id: %s\r\nX-Expires-In: 20000m\r\n\r\n", id)
+func (c *testClient) send(path, id string) {
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nX-Trace-Id: %s\r\nX-Expires-In: 20000m\r\n\r\n", path, id)
 }
 
 // receive returns the status and whether the connection ends after it.
@@ -99,7 +99,16 @@
 // Guards against a call that is read and then closed without an answer: its bytes had left the kernel, and the goroutine that
 // read them had not run since, when its connection was chosen to make room for another client.
 func TestEvictionAnswersCallBeingRead(t *testing.T) {
-	for name, hadCall := range map[string]bool{"first call": false, "call on an idle connection": true} {
+	const call, healthCheck = "/a/x", healthPath
+	for name, test := range map[string]struct {
+		hadCall bool
+		path    string
+	}{
+		"first call":                         {false, call},
+		"call on an idle connection":         {true, call},
+		"first health check":                 {false, healthCheck},
+		"health check on an idle connection": {true, healthCheck},
+	} {
 		t.Run(name, func(t *testing.T) {
 			const limit = 3
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,23 +128,23 @@
 			defer close(handler.released)
 
 			first := dialClient(t, ln.Addr().String())
-			if hadCall {
-				first.send("before")
+			if test.hadCall {
+				first.send(call, "before")
 				if status, closes, err := first.receive(); status != 200 || closes || err != nil {
 					t.Fatalf("call before: %d, closes %v, %v", status, closes, err)
 				}
 			}
 			for i := range int64(limit - 1) {
-				dialClient(t, ln.Addr().String()).send(fmt.Sprint("held", i))
+				dialClient(t, ln.Addr().String()).send(call, fmt.Sprint("held", i))
 				for handler.held.Load() <= i {
 					time.Sleep(time.Millisecond)
 				}
 			}
 			socket.armed.Store(true)
-			first.send("read")
+			first.send(test.path, "read")
 			<-socket.paused
 			next := dialClient(t, ln.Addr().String())
-			next.send("next")
+			next.send(call, "next")
 			if status, _, err := next.receive(); status != 200 || err != nil {
 				t.Errorf("client that needs the place: %d, %v", status, err)
 			}
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -113,9 +113,7 @@
 			return
 		}
 		call, err := c.readCall()
-		if !c.Enter(transport.PhaseBusy) {
-			return
-		}
+		c.Enter(transport.PhaseBusy)
 		switch {
 		case err != nil:
 			c.checkStopped(err)
@@ -153,17 +151,16 @@
 		c.hadCall = true
 	}
 	c.SetReadBounds(transport.ReadBounds{Until: until, NoRequest: true})
-	if !c.Enter(phase) {
-		return false
-	}
+	c.Enter(phase)
 	// Checked after Enter: a drain that begins now finds the connection idle and ends its wait. A request that has arrived is
 	// still answered.
 	if c.Closing.Err() != nil || phase == transport.PhaseIdle && c.isOperatorDrained() {
 		c.EndIdleWaits()
 	}
-	if _, err := c.r.Peek(1); err != nil || !c.Enter(transport.PhaseReading) {
+	if _, err := c.r.Peek(1); err != nil {
 		return false
 	}
+	c.Enter(transport.PhaseReading)
 	c.started = time.Now()
 	c.limitRead(limit)
 	return true
@@ -325,7 +322,8 @@
 		c.closing = true
 	}
 	c.answer(Answer{Verdict: Refused, Wait: c.Advice})
-	if c.upload != nil && c.Enter(transport.PhaseLingering) {
+	if c.upload != nil {
+		c.Enter(transport.PhaseLingering)
 		c.discardRequest()
 	}
 }
@@ -371,7 +369,8 @@
 	watcher.end()
 	c.broken = c.broken || watcher.hasDisconnected() && !rejected
 	c.closing = c.closing || c.broken
-	if err != nil && !rejected && c.Enter(transport.PhaseLingering) {
+	if err != nil && !rejected {
+		c.Enter(transport.PhaseLingering)
 		c.discardRequest()
 	}
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -20,7 +20,6 @@
 	phase         Phase       // guarded by the listener's mutex, like the fields below
 	phaseSince    time.Time
 	phaseElement  *list.Element // position in the list of its phase, nil while PhaseBusy
-	evicted       bool          // to be closed to make room for another connection, unless a call has arrived
 	uncounted     bool          // no longer counted as open: it has been or is being evicted
 }
 
@@ -149,24 +148,24 @@
 	return c.phaseSince
 }
 
-// Enter moves the connection to a phase. It returns false if the connection is to be closed to make room for another. The first
-// byte of a call, PhaseReading, comes before that: the call is answered.
-func (c *Client) Enter(phase Phase) bool {
+// Enter moves the connection to a phase.
+func (c *Client) Enter(phase Phase) {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if phase == PhaseReading {
-		c.evicted = false
-	}
-	if c.evicted {
-		return false
-	}
 	l.leavePhase(c)
 	c.phase, c.phaseSince = phase, time.Now()
 	if phase != PhaseBusy {
 		c.phaseElement = l.byPhase[phase].PushBack(c)
 	}
-	return true
+}
+
+// Evicted reports whether the connection is to be closed, without a call, to make room for another.
+func (c *Client) Evicted() bool {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return c.uncounted && (c.phase == PhaseNew || c.phase == PhaseIdle)
 }
 
 // NearLimit reports whether this connection should not be kept alive after its response: another one has its place, or too many
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -291,25 +291,19 @@
 	return wait
 }
 
-// evictClient ends a connection without a call and no longer counts it as open. Where a request may arrive, only the serving
-// goroutine closes the connection, after its read has been interrupted: it alone knows whether it has just read one, which is
-// answered first. The caller holds l.mu.
+// evictClient ends a connection without a call and no longer counts it as open. Where a request may arrive, it only interrupts
+// the read: the serving goroutine alone knows whether it has just read one, and answers that first. The caller holds l.mu.
 func (l *Listener) evictClient(c *Client) {
 	l.leavePhase(c)
 	if !c.uncounted {
 		c.uncounted = true
 		l.openCount--
 	}
-	switch c.phase {
-	case PhaseReading:
-		c.InterruptRead()
-	case PhaseLingering:
-		c.evicted = true
+	if c.phase == PhaseLingering {
 		c.Close()
-	default:
-		c.evicted = true
-		c.EndIdleWaits()
+		return
 	}
+	c.InterruptRead()
 }
 
 // release closes a served connection and frees its slot.
