A call's deadline that passes while the process stands still ends its attempt

Cause: at a call's deadline the router ends the attempt, and 20 ms later it answers by itself, if the balancer has not. A process that is held up across both finds both timers due, and takes either first. Then the call ended as one that the balancer had forgotten, with 504 and call_overdue in the log, though nothing was wrong but the time. Both answers are final and in time, but which one was chance, and the log reported a fault of the balancer.

Now the late answer is given only if no attempt has ended and no command waits; else the router deals with these first. Ending timed-out attempts is one function for both timers.

--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -175,13 +175,7 @@
 
 		case <-timeout.C:
 			now := time.Now()
-			active.extendDeadline(inFlight)
-			for _, a := range inFlight {
-				if !now.Before(a.deadline) {
-					a.timedOut = true
-					a.Abort()
-				}
-			}
+			active.abortTimedOut(inFlight, now)
 			if next := earliestDeadline(inFlight); next.After(now) {
 				timeout.Reset(next.Sub(now))
 			}
@@ -196,7 +190,12 @@
 			handleClientLeft()
 
 		case <-overdue.C:
-			if active.extendDeadline(inFlight); time.Now().Before(active.deadline) {
+			active.abortTimedOut(inFlight, time.Now())
+			if len(results) > 0 || len(active.commands) > 0 { // this process is late, not the balancer
+				overdue.Reset(answerGrace)
+				continue
+			}
+			if time.Now().Before(active.deadline) {
 				overdue.Reset(time.Until(active.deadline) + answerGrace)
 				continue
 			}
@@ -236,6 +235,17 @@
 	}
 }
 
+// abortTimedOut aborts the attempts whose deadline has passed.
+func (c *activeCall) abortTimedOut(inFlight []*attempt, now time.Time) {
+	c.extendDeadline(inFlight)
+	for _, a := range inFlight {
+		if !now.Before(a.deadline) {
+			a.timedOut = true
+			a.Abort()
+		}
+	}
+}
+
 // abortAll aborts attempts. When it returns, their connections are closed and their results available.
 func abortAll(inFlight []*attempt) {
 	for _, a := range inFlight {
