Crowd plays: a process passes its memory limit under hostile clients (failing test)

The operators' pre-production run ended processes that passed 48 MB with hundreds of hostile clients connected. The new package internal/lab/crowd plays such crowds against the released program with 48 MB, 1,024 descriptors and a quarter of a core, and judges its high-water mark and what ordinary clients get.

--- /dev/null
+++ b/internal/lab/crowd/crowd.go
@@ -0,0 +1,240 @@
+// Package crowd plays crowds of hostile clients against one real sidecar with little memory, few descriptors and a share of a
+// core. It measures the peak of the process's memory, as the system counts it, and what ordinary clients beside the crowd get.
+package crowd
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Limits are what the sidecar's settings grant it, and what the play holds it to.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// StandardLimits are the least that the operators' pages name.
+var StandardLimits = Limits{Cores: 0.25, MemoryMB: 48, Sockets: 1024}
+
+// LeastMemoryMB is the least memory in which a crowd may use all of the limit, but not more.
+const LeastMemoryMB = 32
+
+// memoryShare is the share of the limit that a process may use where the limit is above LeastMemoryMB.
+const memoryShare = 0.8
+
+// MaxPeak returns the bytes that the processes may have resident.
+func (l Limits) MaxPeak() int64 {
+	limit := int64(l.MemoryMB) << 20
+	if l.MemoryMB <= LeastMemoryMB {
+		return limit
+	}
+	return int64(memoryShare * float64(limit))
+}
+
+// Event is something that happens to the sidecar during a play.
+type Event struct {
+	At   time.Duration
+	What Action
+}
+
+// Action is a kind of event.
+type Action string
+
+// The actions.
+const (
+	KillSeries Action = "kill-series" // SIGKILL and a new process, several times in a row
+	Reload     Action = "reload"      // SIGHUP
+	Upgrade    Action = "upgrade"     // a second process, then SIGTERM to the first, and SIGKILL at the earliest moment allowed
+	Restart    Action = "restart"     // SIGTERM, SIGKILL at the earliest moment allowed, and a new process
+)
+
+var actions = []Action{KillSeries, Reload, Upgrade, Restart}
+
+const (
+	backendCount    = 12
+	ordinaryClients = 6
+	killsPerSeries  = 5
+	restartDelay    = time.Second            // between the end of a process and the start of the next
+	killDelay       = 400 * time.Millisecond // between the start of a process and its SIGKILL within a series
+	killAfterTerm   = 3700 * time.Millisecond
+)
+
+// Options describe one play.
+type Options struct {
+	Program []string // the sidecar and its arguments
+	Dir     string   // for the configuration and the log
+	Limits  Limits
+	Kinds   []Kind // the crowd's clients are divided evenly among them
+	Clients int    // of the crowd
+	Length  time.Duration
+	Events  []Event
+}
+
+// Result is what a play has shown.
+type Result struct {
+	Peak     int64 // bytes: the largest high-water mark, of processes that ran together the sum
+	Ordinary Tally // of the clients beside the crowd
+	Ended    []string
+}
+
+// minServedShare is the share of ordinary requests that are to be served while the processor suffices.
+const minServedShare = 0.9
+
+// Faults lists what the operators' pages do not allow.
+func (r *Result) Faults(limits Limits) (faults []string) {
+	if r.Peak > limits.MaxPeak() {
+		faults = append(faults, fmt.Sprintf("peak %.1f MB, at most %.1f MB are allowed", megabytes(r.Peak), megabytes(limits.MaxPeak())))
+	}
+	if len(r.Ended) > 0 {
+		faults = append(faults, fmt.Sprintf("a process ended by itself: %v", r.Ended))
+	}
+	if r.Ordinary.Lost > 0 {
+		faults = append(faults, fmt.Sprintf("%d of %d ordinary requests got no answer in time, such as %q", r.Ordinary.Lost, r.Ordinary.Sent, r.Ordinary.Losses))
+	}
+	return faults
+}
+
+// ServedEnough reports whether enough ordinary requests were served.
+func (r *Result) ServedEnough() bool {
+	return float64(r.Ordinary.Served) >= minServedShare*float64(r.Ordinary.Sent)
+}
+
+// String describes the result in one line.
+func (r *Result) String() string {
+	t := r.Ordinary
+	return fmt.Sprintf("peak %.1f MB; %d ordinary requests: %d served, %d refused, %d failed, %d lost", megabytes(r.Peak), t.Sent, t.Served, t.Refused, t.Failed, t.Lost)
+}
+
+func megabytes(bytes int64) float64 { return float64(bytes) / (1 << 20) }
+
+// Play runs one play.
+func Play(ctx context.Context, o Options) (*Result, error) {
+	w, err := newWorld(backendCount)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	s, err := newSidecar(o, w)
+	if err != nil {
+		return nil, err
+	}
+	defer s.close()
+	if _, err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	playCtx, stop := context.WithTimeout(ctx, o.Length)
+	defer stop()
+	result := &Result{}
+	var mu sync.Mutex
+	var playing sync.WaitGroup
+	for range ordinaryClients {
+		client := &ordinary{addr: s.addr, mu: &mu, tally: &result.Ordinary, alive: s.alive.Load}
+		playing.Go(func() { client.run(playCtx) })
+	}
+	for _, kind := range o.crowd() {
+		playing.Go(func() { hostileClient(playCtx, s.addr, kind) })
+	}
+	monitorCtx, stopMonitor := context.WithCancel(ctx)
+	var monitoring sync.WaitGroup
+	monitoring.Go(func() { s.monitor(monitorCtx) })
+	err = s.playEvents(playCtx, o.Events)
+	playing.Wait()
+	stopMonitor()
+	monitoring.Wait()
+	result.Peak, result.Ended = s.peak, s.unexpectedEnds()
+	return result, err
+}
+
+// crowd returns the kind of each hostile client. A flood is a single client; the others are divided evenly among the other kinds.
+func (o *Options) crowd() (crowd []Kind) {
+	var others []Kind
+	for _, kind := range o.Kinds {
+		if kind.flood() {
+			crowd = append(crowd, kind)
+		} else {
+			others = append(others, kind)
+		}
+	}
+	for i := 0; len(others) > 0 && len(crowd) < o.Clients; i++ {
+		crowd = append(crowd, others[i%len(others)])
+	}
+	return crowd
+}
+
+// playEvents carries out the events at their times.
+func (s *sidecar) playEvents(ctx context.Context, events []Event) error {
+	start := time.Now()
+	for _, event := range events {
+		sleep(ctx, time.Until(start.Add(event.At)))
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err := s.carryOut(ctx, event.What); err != nil && ctx.Err() == nil {
+			return fmt.Errorf("%s at %v: %w", event.What, event.At, err)
+		}
+	}
+	return nil
+}
+
+func (s *sidecar) carryOut(ctx context.Context, action Action) error {
+	running := s.running()
+	if len(running) == 0 {
+		return nil // it has ended by itself, which the result tells
+	}
+	current := running[len(running)-1]
+	switch action {
+	case Reload:
+		current.signal(syscall.SIGHUP)
+	case KillSeries:
+		for range killsPerSeries {
+			s.alive.Store(false)
+			current.end(syscall.SIGKILL)
+			sleep(ctx, restartDelay)
+			var err error
+			if current, err = s.start(ctx); err != nil {
+				return err
+			}
+			sleep(ctx, killDelay)
+		}
+	case Upgrade:
+		if _, err := s.start(ctx); err != nil {
+			return err
+		}
+		s.terminate(ctx, current)
+	case Restart:
+		s.alive.Store(false)
+		s.terminate(ctx, current)
+		_, err := s.start(ctx)
+		return err
+	}
+	return nil
+}
+
+// terminate asks a process to end, and kills it once the platform may.
+func (s *sidecar) terminate(ctx context.Context, l *life) {
+	l.expected.Store(true)
+	l.signal(syscall.SIGTERM)
+	select {
+	case <-l.done:
+	case <-time.After(killAfterTerm):
+		l.end(syscall.SIGKILL)
+	case <-ctx.Done():
+		l.end(syscall.SIGKILL)
+	}
+}
+
+// settings are the platform's, of a deployment whose longest deadline is 3 s.
+const settings = `{"balancers":4,"ordinal":0,"period_us":5000,"zone":0,"zones":["hall-a","hall-b"],
+"machine_types":["new"],"discovery":"subscribe","weights":"rough","tenants":[],
+"ceilings":{"cancelling":true,"connect_timeout_us":250000,"idle_close_us":5000000,"max_attempts":3,
+ "max_retry_after_us":1500000,"may_duplicate":false,"probing":false,"retry_after":true},
+"report":{"columns":["util"],"via":"pull"},
+"safety":{"answer_slack_us":20000,"ask_within_us":10000000,"drain_grace_us":750000,"fall_multiple":2.5,
+ "start_capacity":0.14,"tip_after_us":1000000,"warm_after_us":24000000},
+"classes":[
+ {"name":"availability","repeat":"safe","aim_us":600000,"deadline_us":3000000,"importance":1.0,"late_worth":0.2},
+ {"name":"booking","repeat":"unsafe","aim_us":1000000,"deadline_us":3000000,"importance":5.0,"late_worth":0.3}]}`
--- /dev/null
+++ b/internal/lab/crowd/ordinary.go
@@ -0,0 +1,133 @@
+package crowd
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	ordinaryDeadline = 2 * time.Second
+	ordinaryPause    = 100 * time.Millisecond // between two requests of a client
+	lateAnswer       = 500 * time.Millisecond // past its deadline, an answer counts as lost
+	maxLosses        = 5                      // whose cause is kept
+)
+
+// Tally counts what ordinary clients got for their requests.
+type Tally struct {
+	Sent    int
+	Served  int
+	Refused int      // with 429 or 503
+	Failed  int      // with any other status
+	Lost    int      // without a whole answer in time
+	Losses  []string // the cause of some that were lost
+}
+
+// add counts one outcome.
+func (t *Tally) add(status int, err error) {
+	t.Sent++
+	switch {
+	case err != nil:
+		t.Lost++
+		if len(t.Losses) < maxLosses {
+			t.Losses = append(t.Losses, err.Error())
+		}
+	case status == http.StatusOK:
+		t.Served++
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+}
+
+// ordinary is a client that sends one small request after another on a connection that it keeps.
+type ordinary struct {
+	addr  string
+	mu    *sync.Mutex // guards tally
+	tally *Tally
+	alive func() bool // false while the sidecar is down: what it had then is not owed
+	conn  net.Conn
+	r     *bufio.Reader
+}
+
+// run sends requests until ctx is done.
+func (o *ordinary) run(ctx context.Context) {
+	defer o.disconnect()
+	for ctx.Err() == nil {
+		wasAlive := o.alive()
+		status, err := o.request()
+		if ctx.Err() != nil && err != nil {
+			return
+		}
+		if wasAlive && o.alive() {
+			o.mu.Lock()
+			o.tally.add(status, err)
+			o.mu.Unlock()
+		}
+		sleep(ctx, ordinaryPause)
+	}
+}
+
+func (o *ordinary) disconnect() {
+	if o.conn != nil {
+		o.conn.Close()
+		o.conn = nil
+	}
+}
+
+// request sends one request and reads its answer. Where the sidecar closes a kept connection as the request is sent, the
+// request goes out once more on a new one.
+func (o *ordinary) request() (status int, err error) {
+	for {
+		reused := o.conn != nil
+		if !reused {
+			if o.conn, err = net.DialTimeout("tcp", o.addr, dialTimeout); err != nil {
+				o.conn = nil
+				return http.StatusServiceUnavailable, nil // nothing was sent
+			}
+			o.r = bufio.NewReader(o.conn)
+		}
+		start := time.Now()
+		status, closes, err := o.exchange()
+		if closes || err != nil {
+			o.disconnect()
+		}
+		if err != nil && reused && errors.Is(err, errUnanswered) {
+			continue
+		}
+		if err != nil {
+			err = fmt.Errorf("after %v, reused %v: %w", time.Since(start).Round(time.Millisecond), reused, err)
+		}
+		return status, err
+	}
+}
+
+// errUnanswered means that the connection ended without a byte of an answer.
+var errUnanswered = errors.New("closed with no answer")
+
+func (o *ordinary) exchange() (status int, closes bool, err error) {
+	o.conn.SetDeadline(time.Now().Add(ordinaryDeadline + lateAnswer))
+	if _, err := io.WriteString(o.conn, requestHead("GET", "availability/x", ordinaryDeadline)+"\r\n"); err != nil {
+		return 0, true, errors.Join(errUnanswered, err)
+	}
+	if _, err := o.r.Peek(1); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, true, err
+		}
+		return 0, true, errors.Join(errUnanswered, err)
+	}
+	response, err := http.ReadResponse(o.r, nil)
+	if err != nil {
+		return 0, true, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Close, err
+}
