--- a/Makefile
+++ b/Makefile
@@ -34,20 +34,20 @@
 
 # A short day of the laboratory with this program as the sidecars: what a newcomer runs first.
 demo: build
-	bin/burlpass lab run scenarios/small-day.toml
+	bin/burlpass-lab run scenarios/small-day.toml
 
 # Ten thousand simulated days: the better part of an hour on four cores.
 SEEDS ?= 10000
 sim: build
-	bin/burlpass sim run --count $(SEEDS) --keep-on
+	bin/burlpass-lab sim run --count $(SEEDS) --keep-on
 
 # Days of random faults against 24 real sidecars, 30 s each (20 of them unless SEEDS is given), PARALLEL at once.
 soak: build
-	bin/burlpass lab soak --seeds $(if $(filter file,$(origin SEEDS)),20,$(SEEDS)) --from $(FROM) --parallel $(PARALLEL)
+	bin/burlpass-lab soak --seeds $(if $(filter file,$(origin SEEDS)),20,$(SEEDS)) --from $(FROM) --parallel $(PARALLEL)
 
 # Known faults put into the program, and after how many simulated days each is found: some minutes.
 mutants: build
-	bin/burlpass sim mutants
+	bin/burlpass-lab sim mutants
 
 FUZZTIME ?= 20s
 fuzz:
--- a/cmd/burlpass/main.go
+++ b/cmd/burlpass/main.go
@@ -1,5 +1,5 @@
-// Command burlpass is a client-side load-balancing sidecar with the experiments that test it. Without a
-// subcommand it runs the sidecar as configured by the EDGE_ environment variables.
+// Command burlpass is a client-side load-balancing sidecar. Without a subcommand it runs the sidecar as configured by the
+// EDGE_ environment variables. Members of a cluster are run by burlpass-cluster, which replaces it.
 package main
 
 import (
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+	os.Exit(cli.Main(os.Args[1:], os.Getenv, nil, os.Stdout, os.Stderr))
 }
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/spf13/cobra"
 
 	"burlpass/internal/program"
 )
 
-func (a *app) checkCommand() *cobra.Command {
+func checkCommand(stdout io.Writer) *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
 		Short: "Report every fault of a configuration file",
@@ -19,15 +20,15 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			faults, err := program.Check(args[0])
 			if err != nil {
-				return failure(err)
+				return Failure(err)
 			}
 			for _, f := range faults {
-				fmt.Fprintln(a.stdout, f)
+				fmt.Fprintln(stdout, f)
 			}
 			if len(faults) > 0 {
-				return failure(fmt.Errorf("%s: %d faults", args[0], len(faults)))
+				return Failure(fmt.Errorf("%s: %d faults", args[0], len(faults)))
 			}
-			fmt.Fprintf(a.stdout, "%s: no faults\n", args[0])
+			fmt.Fprintf(stdout, "%s: no faults\n", args[0])
 			return nil
 		},
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,25 +1,16 @@
-// Package cli implements the command line of burlpass: subcommands, flags, help and exit codes. The work of each command is
-// done by other packages. A day is one run of a scenario.
+// Package cli implements the command line of the sidecar: subcommands, flags, help and exit codes. The work of each command
+// is done by other packages.
 package cli
 
 import (
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
-	"burlpass/decide"
-	"burlpass/internal/logging"
-	"burlpass/internal/program"
-	"burlpass/internal/trace"
-	"burlpass/internal/transport"
+	"burlpass/internal/membership"
 )
 
 // The exit codes of every sub-command.
@@ -38,35 +29,25 @@
 func (f *exitError) Error() string { return f.err.Error() }
 func (f *exitError) Unwrap() error { return f.err }
 
-func failure(err error) error {
+// Failure marks an error as one that ends the program with ExitFailure. It returns nil for nil.
+func Failure(err error) error {
 	if err == nil {
 		return nil
 	}
 	return &exitError{ExitFailure, err}
 }
 
-// app holds the output streams and options that all commands share.
-type app struct {
-	getenv         func(string) string
-	stdout, stderr io.Writer
-	logFormat      string
-	logLevel       string
-	configPath     string // --config of serve
-	traceDecisions bool
-}
-
-// Main runs the command line and returns the exit code. Without arguments it runs serve.
-func Main(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
-	a := &app{getenv: getenv, stdout: stdout, stderr: stderr}
-	root := a.rootCommand()
+// Execute runs a command line, prints its error, and returns the exit code.
+func Execute(root *cobra.Command, args []string, stdout, stderr io.Writer) int {
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
+	root.SilenceErrors, root.SilenceUsage = true, true
 	err := root.Execute()
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintln(stderr, "burlpass:", err)
+	fmt.Fprintf(stderr, "%s: %v\n", root.Name(), err)
 	var exit *exitError
 	if errors.As(err, &exit) {
 		return exit.code
@@ -74,27 +55,28 @@
 	return ExitUsage
 }
 
-func (a *app) rootCommand() *cobra.Command {
+// Main runs the sidecar's command line and returns the exit code. Without arguments it runs serve. openCluster is nil in a
+// program that leaves the members of clusters to another one.
+func Main(args []string, getenv func(string) string, openCluster membership.Opener, stdout, stderr io.Writer) int {
+	server := &Server{Getenv: getenv, Stderr: stderr, OpenCluster: openCluster}
+	return Execute(rootCommand(server, stdout), args, stdout, stderr)
+}
+
+func rootCommand(server *Server, stdout io.Writer) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "burlpass",
-		Short: "A client-side load-balancing sidecar, and the laboratory that it is proved in",
+		Short: "A client-side load-balancing sidecar",
 		Long: `burlpass takes the calls of one application and delegates each to one of many workers.
 Without a sub-command it serves as the variables EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and
 EDGE_CONFIG say.
 
 Exit codes: 0 done; 1 something is wrong with what was run, checked or read; 2 wrong usage.`,
 		Example: `  EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.json burlpass
-  burlpass check config.json
-  burlpass lab run scenarios/small-day.toml --html report.html`,
-		Args:          cobra.NoArgs,
-		SilenceErrors: true,
-		SilenceUsage:  true,
-		RunE:          a.serve,
+  burlpass check config.json`,
+		Args: cobra.NoArgs,
+		RunE: server.run,
 	}
-	flags := root.PersistentFlags()
-	flags.StringVar(&a.logFormat, "log-format", "text", "form of the log on standard error: text (key=value) or json")
-	flags.StringVar(&a.logLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
-	flags.BoolVar(&a.traceDecisions, "trace", false, "also log what the decision module is told and chooses, for burlpass lab count")
+	server.AddFlags(root.PersistentFlags())
 	serve := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one sidecar until SIGTERM",
@@ -104,65 +86,14 @@
 		Example: `  burlpass serve --config docs/config.example.toml
   EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.json burlpass serve`,
 		Args: cobra.NoArgs,
-		RunE: a.serve,
+		RunE: server.run,
 	}
-	serve.Flags().StringVar(&a.configPath, "config", "", "configuration file, TOML or the platform's JSON")
-	root.AddCommand(serve, a.versionCommand(), a.checkCommand(), a.labCommand(), a.simCommand(), a.keysCommand())
+	serve.Flags().StringVar(&server.configPath, "config", "", "configuration file, TOML or the platform's JSON")
+	root.AddCommand(serve, versionCommand(stdout), checkCommand(stdout), keysCommand(stdout))
 	return root
 }
 
-func (a *app) newLogger() (*slog.Logger, error) {
-	options := logging.Options{Format: a.logFormat}
-	if err := options.Level.UnmarshalText([]byte(a.logLevel)); err != nil {
-		return nil, fmt.Errorf("--log-level %q: debug, info, warn or error is expected", a.logLevel)
-	}
-	log, err := logging.New(a.stderr, options)
-	if err != nil {
-		return nil, fmt.Errorf("--log-format: %w", err)
-	}
-	return log, nil
-}
-
-func (a *app) serve(*cobra.Command, []string) error { return a.serveOn(transport.System{}) }
-
-// serveOn runs one sidecar on network until a signal stops it.
-func (a *app) serveOn(network transport.Network) error {
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	log, err := a.newLogger()
-	if err != nil {
-		return err
-	}
-	config, err := a.loadConfig()
-	if err != nil {
-		return failure(err)
-	}
-	if a.traceDecisions {
-		writer := &trace.Writer{W: a.stderr}
-		config.Decide.Marks = true
-		writer.Start(time.Now().UnixMicro(), &config.Decide)
-		config.Trace = func(now time.Duration, e decide.Event, actions []decide.Action, name func(decide.ServerID) string) {
-			writer.Event(now.Microseconds(), &e, actions, name)
-		}
-	}
-	config.Limits.Apply()
-	sidecar, err := program.New(network, config, log)
-	if err != nil {
-		return failure(err)
-	}
-	sidecar.Run(signals)
-	return nil
-}
-
-func (a *app) loadConfig() (*program.Config, error) {
-	if a.configPath != "" {
-		return program.LoadFile(a.configPath)
-	}
-	return program.Load(a.getenv)
-}
-
-func (a *app) versionCommand() *cobra.Command {
+func versionCommand(stdout io.Writer) *cobra.Command {
 	return &cobra.Command{
 		Use:     "version",
 		Short:   "Print the version, revision and tool chain that this program was built from",
@@ -171,17 +102,17 @@
 		RunE: func(*cobra.Command, []string) error {
 			info, ok := debug.ReadBuildInfo()
 			if !ok {
-				return failure(errors.New("this program holds no build information"))
+				return Failure(errors.New("this program holds no build information"))
 			}
 			buildSettings := map[string]string{}
 			for _, setting := range info.Settings {
 				buildSettings[setting.Key] = setting.Value
 			}
-			fmt.Fprintf(a.stdout, "burlpass %s\n", info.Main.Version)
+			fmt.Fprintf(stdout, "burlpass %s\n", info.Main.Version)
 			for _, line := range [][2]string{{"revision", buildSettings["vcs.revision"]}, {"time", buildSettings["vcs.time"]},
 				{"modified", buildSettings["vcs.modified"]}, {"go", info.GoVersion}, {"platform", buildSettings["GOOS"] + "/" + buildSettings["GOARCH"]}} {
 				if line[1] != "" {
-					fmt.Fprintf(a.stdout, "%-9s %s\n", line[0], line[1])
+					fmt.Fprintf(stdout, "%-9s %s\n", line[0], line[1])
 				}
 			}
 			return nil
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,20 +11,19 @@
 	"github.com/spf13/cobra"
 
 	"burlpass/internal/config"
-	"burlpass/internal/lab/scenario"
 	"burlpass/internal/program"
 )
 
 func runCommand(args ...string) (code int, stdout, stderr string) {
 	var out, err bytes.Buffer
-	code = Main(args, func(string) string { return "" }, &out, &err)
+	code = Main(args, func(string) string { return "" }, nil, &out, &err)
 	return code, out.String(), err.String()
 }
 
 // Each command line ends with the documented exit code and names the fault in its output.
 func TestExitCodes(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
-	if err := os.WriteFile(bad, []byte("name = \"x\"\nworkers = 0\nfaults = 3\n"), 0o600); err != nil {
+	if err := os.WriteFile(bad, []byte("name = \"x\"\nfaults = 3\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	for line, want := range map[string]struct {
@@ -40,14 +40,7 @@
 		"version":                              {ExitOK, "go1.", ""},
 		"check":                                {ExitUsage, "", "accepts 1 arg"},
 		"check ../../docs/config.example.toml": {ExitOK, "no faults", ""},
-		"check " + bad:                         {ExitFailure, ":3:1: faults: unknown key", "faults"},
-		"lab run " + bad:                       {ExitFailure, "", bad + ":2:1: workers: 0 is out of range"},
-		"lab run ../../scenarios/calm.toml --build /nowhere":         {ExitUsage, "", "/nowhere"},
-		"lab compare self reference:magic ../../scenarios/calm.toml": {ExitUsage, "", "round-robin"},
-		"lab compare self self ../../scenarios/calm.toml --seeds 0":  {ExitUsage, "", "--seeds"},
-		"lab list ../../scenarios":                                   {ExitOK, "small-day", ""},
-		"lab list /nowhere":                                          {ExitFailure, "", "no scenario"},
-		"lab report /nowhere.json":                                   {ExitFailure, "", "/nowhere.json"},
+		"check " + bad:                         {ExitFailure, ":2:1: faults: unknown key", "faults"},
 		"completion bash":                                            {ExitOK, "complete", ""},
 	} {
 		code, stdout, stderr := runCommand(strings.Fields(line)...)
@@ -68,18 +61,16 @@
 			walk(sub)
 		}
 	}
-	walk((&app{}).rootCommand())
+	walk(rootCommand(&Server{}, io.Discard))
 }
 
-// The reference page contains the key tables exactly as the code generates them.
+// The reference page contains the key table exactly as the code generates it.
 func TestReferencePage(t *testing.T) {
 	page, err := os.ReadFile("../../docs/configuration.md")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, keys := range [][]config.Key{program.Keys(), scenario.Keys()} {
-		if want := config.Reference(keys); !strings.Contains(string(page), want) {
-			t.Errorf("docs/configuration.md lacks a table as the code has it; burlpass keys prints it:\n%s", want)
-		}
+	if want := config.Reference(program.Keys()); !strings.Contains(string(page), want) {
+		t.Errorf("docs/configuration.md lacks a table as the code has it; burlpass keys prints it:\n%s", want)
 	}
 }
--- a/internal/cli/docs.go
+++ b/internal/cli/docs.go
@@ -2,24 +2,23 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/spf13/cobra"
 
 	"burlpass/internal/config"
-	"burlpass/internal/lab/scenario"
 	"burlpass/internal/program"
 )
 
-// keysCommand prints the reference tables that docs/configuration.md contains.
-func (a *app) keysCommand() *cobra.Command {
+// keysCommand prints a reference table that docs/configuration.md contains.
+func keysCommand(stdout io.Writer) *cobra.Command {
 	return &cobra.Command{
 		Use:     "keys",
-		Short:   "Print every key of the configuration and of scenarios, with type, default and range",
+		Short:   "Print every key of the configuration, with type, default and range",
 		Example: "  burlpass keys",
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			fmt.Fprintf(a.stdout, "## A sidecar\n\n%s\n## A scenario of the laboratory\n\n%s", config.Reference(program.Keys()),
-				config.Reference(scenario.Keys()))
+			fmt.Fprintf(stdout, "## A sidecar\n\n%s", config.Reference(program.Keys()))
 			return nil
 		},
 	}
--- a/internal/clustertest/run/build.go
+++ b/internal/clustertest/run/build.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return "", err
 	}
-	cmd := exec.CommandContext(ctx, "go", "build", "-ldflags=-linkmode=external", "-o", path, "-overlay", overlay, "./cmd/burlpass")
+	cmd := exec.CommandContext(ctx, "go", "build", "-ldflags=-linkmode=external", "-o", path, "-overlay", overlay, "./cmd/burlpass-cluster")
 	cmd.Dir, cmd.Env = root, append(os.Environ(), "CGO_ENABLED=1")
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("go build of %s: %w\n%s", name, err, out)
--- a/internal/enforcement/metrics.go
+++ b/internal/enforcement/metrics/metrics.go
@@ -1,10 +1,16 @@
-//go:build !wasip1
+// Package metrics exports the counters of an enforcer.
+package metrics
 
-package enforcement
+import (
+	"github.com/prometheus/client_golang/prometheus"
 
-import "github.com/prometheus/client_golang/prometheus"
+	"burlpass/internal/enforcement"
+)
 
-var _ prometheus.Collector = (*Enforcer)(nil)
+// Collector is a prometheus.Collector of an enforcer's counters.
+type Collector struct{ Enforcer *enforcement.Enforcer }
+
+var _ prometheus.Collector = Collector{}
 
 func refusedDesc() *prometheus.Desc {
 	return prometheus.NewDesc("burlpass_rules_refused_total",
@@ -16,12 +22,12 @@
 }
 
 // Describe implements prometheus.Collector.
-func (e *Enforcer) Describe(ch chan<- *prometheus.Desc) { ch <- refusedDesc(); ch <- versionDesc() }
+func (Collector) Describe(ch chan<- *prometheus.Desc) { ch <- refusedDesc(); ch <- versionDesc() }
 
 // Collect implements prometheus.Collector.
-func (e *Enforcer) Collect(ch chan<- prometheus.Metric) {
-	for _, count := range e.RefusalCounts() {
+func (c Collector) Collect(ch chan<- prometheus.Metric) {
+	for _, count := range c.Enforcer.RefusalCounts() {
 		ch <- prometheus.MustNewConstMetric(refusedDesc(), prometheus.CounterValue, float64(count.Calls), count.Rule)
 	}
-	ch <- prometheus.MustNewConstMetric(versionDesc(), prometheus.GaugeValue, float64(e.Version()))
+	ch <- prometheus.MustNewConstMetric(versionDesc(), prometheus.GaugeValue, float64(c.Enforcer.Version()))
 }
--- a/internal/cli/compare.go
+++ b/internal/labcli/compare.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"burlpass/internal/cli"
 	"burlpass/internal/lab/experiment"
 	"burlpass/internal/lab/reference"
 	"burlpass/internal/lab/report"
@@ -37,9 +38,9 @@
 reference:round-robin, reference:least-outstanding, reference:two-choices. --set-a and --set-b change settings that
 its sidecars are given. A void day is played again, twice at most.
 Exit code 0: played; 1: a rule was broken by self or by a program, or a day stayed void.`,
-		Example: `  burlpass lab compare reference:two-choices self scenarios/hall-loss.toml --seeds 5
-  burlpass lab compare old/bin/burlpass self scenarios/*.toml --seeds 3 --html compare.html
-  burlpass lab compare self self scenarios/hang.toml --set-b ceilings.probing=false`,
+		Example: `  burlpass-lab compare reference:two-choices self scenarios/hall-loss.toml --seeds 5
+  burlpass-lab compare old/bin/burlpass self scenarios/*.toml --seeds 3 --html compare.html
+  burlpass-lab compare self self scenarios/hang.toml --set-b ceilings.probing=false`,
 		Args: cobra.MinimumNArgs(3),
 		RunE: func(_ *cobra.Command, args []string) error {
 			var sides [2]comparedBuild
@@ -60,7 +61,7 @@
 			for _, path := range args[2:] {
 				loaded, err := scenario.Load(path)
 				if err != nil {
-					return failure(printLeadingFaults(a, err))
+					return cli.Failure(printLeadingFaults(a, err))
 				}
 				scenarios = append(scenarios, loaded)
 			}
@@ -71,7 +72,7 @@
 				comparison.Text(a.stdout)
 				err = errors.Join(err, writeFile(jsonFile, comparison.JSON), writeFile(htmlFile, comparison.HTML))
 			}
-			return failure(err)
+			return cli.Failure(err)
 		},
 	}
 	flags := command.Flags()
@@ -140,28 +141,28 @@
 	command := &cobra.Command{
 		Use:   "report FILE [FILE]",
 		Short: "Print the report of a day that --json kept, or of two laid over each other",
-		Example: `  burlpass lab report day.json --html day.html
-  burlpass lab report before.json after.json --html both.html`,
+		Example: `  burlpass-lab report day.json --html day.html
+  burlpass-lab report before.json after.json --html both.html`,
 		Args: cobra.RangeArgs(1, 2),
 		RunE: func(_ *cobra.Command, args []string) error {
 			var days [2]*report.Day
 			for i, path := range args {
 				f, err := os.Open(path)
 				if err != nil {
-					return failure(err)
+					return cli.Failure(err)
 				}
 				defer f.Close()
 				if days[i], err = report.ReadDay(f); err != nil {
-					return failure(fmt.Errorf("%s: %w", path, err))
+					return cli.Failure(fmt.Errorf("%s: %w", path, err))
 				}
 				days[i].Text(a.stdout)
 			}
 			if days[1] == nil {
-				return failure(writeFile(htmlFile, days[0].HTML))
+				return cli.Failure(writeFile(htmlFile, days[0].HTML))
 			}
 			both := report.Comparison{A: days[0].Build, B: days[1].Build, Days: [][2]*report.Day{days},
 				Differences: experiment.Compare([]experiment.Pair{{A: days[0].Result, B: days[1].Result}}, 1)}
-			return failure(writeFile(htmlFile, both.HTML))
+			return cli.Failure(writeFile(htmlFile, both.HTML))
 		},
 	}
 	command.Flags().StringVar(&htmlFile, "html", "", "write one HTML page to this file")
@@ -174,13 +175,13 @@
 		Use:     "reference POLICY",
 		Short:   "Serve as a plain balancer, for comparison in the laboratory",
 		Long:    "Serves with one of " + strings.Join(reference.Policies(), ", ") + ", told by the EDGE_ variables like serve. Not for service.",
-		Example: "  burlpass lab reference round-robin",
+		Example: "  burlpass-lab reference round-robin",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			signals := make(chan os.Signal, 8)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 			defer signal.Stop(signals)
-			return failure(reference.Run(args[0], a.getenv, signals))
+			return cli.Failure(reference.Run(args[0], a.getenv, signals))
 		},
 	}
 }
--- a/internal/cli/count.go
+++ b/internal/labcli/count.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"encoding/json"
@@ -14,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"burlpass/internal/cli"
 	"burlpass/internal/lab/count"
 )
 
@@ -27,8 +28,8 @@
 		Long: `Reads the *.log files of a folder, one a sidecar, that were written with --trace, and adds them up: by time what all
 sidecars did together, how each version of the list spread, and with --workers what became of each worker.
 Exit code 0: counted; 1: no trace was found.`,
-		Example: `  burlpass lab count logs
-  burlpass lab count logs --window 5 --workers --json count.json`,
+		Example: `  burlpass-lab count logs
+  burlpass-lab count logs --window 5 --workers --json count.json`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if window <= 0 {
@@ -41,15 +42,15 @@
 			counter := &count.Fleet{}
 			for _, path := range paths {
 				if err := addLog(counter, path); err != nil {
-					return failure(err)
+					return cli.Failure(err)
 				}
 			}
 			counted := counter.Report(window)
 			if counted.Records == 0 {
-				return failure(fmt.Errorf("no trace in the %d logs of %s: sidecars write one with --trace", len(paths), args[0]))
+				return cli.Failure(fmt.Errorf("no trace in the %d logs of %s: sidecars write one with --trace", len(paths), args[0]))
 			}
 			printCounts(a.stdout, counted, workers)
-			return failure(writeFile(jsonFile, func(w io.Writer) error { return json.NewEncoder(w).Encode(counted) }))
+			return cli.Failure(writeFile(jsonFile, func(w io.Writer) error { return json.NewEncoder(w).Encode(counted) }))
 		},
 	}
 	flags := command.Flags()
--- a/internal/cli/day_test.go
+++ b/internal/labcli/day_test.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"bytes"
@@ -16,14 +16,15 @@
 	"burlpass/internal/lab/report"
 )
 
-// buildBurlpass builds the program without the race detector, as it is released.
-func buildBurlpass(t *testing.T) string {
+// buildLaboratory builds the laboratory and the sidecar without the race detector, as they are released, and returns the path of
+// the laboratory.
+func buildLaboratory(t *testing.T) string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "burlpass")
-	if out, err := exec.Command("go", "build", "-o", path, "burlpass/cmd/burlpass").CombinedOutput(); err != nil {
+	folder := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", folder, "burlpass/cmd/burlpass", "burlpass/cmd/burlpass-lab").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	return path
+	return filepath.Join(folder, "burlpass-lab")
 }
 
 func readDay(t *testing.T, path string) *report.Day {
@@ -43,7 +44,7 @@
 // Plays a whole small day with the released program: no rule is broken, nearly all requests are served, the hung worker is
 // detected, and all reports are written. Three days run in parallel on one machine without interfering.
 func TestSmallDay(t *testing.T) {
-	program := buildBurlpass(t)
+	program := buildLaboratory(t)
 	for seed := 1; seed <= 3; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
@@ -52,7 +53,7 @@
 			var out []byte
 			for attempt := range 6 { // a broken rule proves nothing if the laboratory ran late
 				var err error
-				out, err = exec.Command(program, "lab", "run", "../../scenarios/small-day.toml", "--seed", strconv.Itoa(seed),
+				out, err = exec.Command(program, "run", "../../scenarios/small-day.toml", "--seed", strconv.Itoa(seed),
 					"--json", reportPath, "--html", pagePath).CombinedOutput()
 				if err == nil || bytes.Contains(out, []byte("VOID")) && !bytes.Contains(out, []byte("BROKEN")) {
 					break
@@ -73,7 +74,7 @@
 			if err != nil || !bytes.Contains(html, []byte("<svg")) || bytes.Contains(html, []byte("src=")) || bytes.Contains(html, []byte("href=\"http")) {
 				t.Errorf("the page is not one whole file: %v", err)
 			}
-			if again, err := exec.Command(program, "lab", "report", reportPath, reportPath).CombinedOutput(); err != nil || !bytes.Contains(again, []byte("worst class")) {
+			if again, err := exec.Command(program, "report", reportPath, reportPath).CombinedOutput(); err != nil || !bytes.Contains(again, []byte("worst class")) {
 				t.Errorf("read again: %v\n%s", err, again)
 			}
 		})
@@ -82,11 +83,11 @@
 
 // SIGINT leaves no sidecar process behind, and the report of the part that was played is still written.
 func TestInterruptStopsSidecars(t *testing.T) {
-	program := buildBurlpass(t)
+	program := buildLaboratory(t)
 	dir := t.TempDir()
 	logs := filepath.Join(dir, "logs")
 	reportPath := filepath.Join(dir, "day.json")
-	c := exec.Command(program, "lab", "run", "../../scenarios/hall-loss.toml", "--json", reportPath, "--logs", logs)
+	c := exec.Command(program, "run", "../../scenarios/hall-loss.toml", "--json", reportPath, "--logs", logs)
 	var out bytes.Buffer
 	c.Stdout, c.Stderr = &out, &out
 	if err := c.Start(); err != nil {
--- a/internal/cli/fleet.go
+++ b/internal/labcli/fleet.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"encoding/json"
@@ -16,6 +16,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"burlpass/decide"
+	"burlpass/internal/cli"
 	"burlpass/internal/lab/experiment"
 	"burlpass/internal/lab/fleet"
 	"burlpass/internal/lab/reference"
@@ -61,12 +62,12 @@
 and seed, with 95% bootstrap intervals. --cold prints in place of the days how near cold workers came to what they may
 get, --classes the served share of each class beside that of round robin on the same day.
 Exit code 0: the rules were kept; 1: a rule was broken on a day.`,
-		Example: `  burlpass lab fleet scenarios/fleet/herd.toml --seeds 10
-  burlpass lab fleet scenarios/fleet/*.toml --seeds 10 --json before.json
-  burlpass lab fleet scenarios/fleet/*.toml --seeds 10 --against before.json
-  burlpass lab fleet scenarios/fleet/join.toml --sidecars 1000
-  burlpass lab fleet scenarios/fleet/cold/*.toml --cold --seeds 200 --sidecars 80,300,1000 --skew 0,1.2
-  burlpass lab fleet scenarios/fleet/*.toml --classes`,
+		Example: `  burlpass-lab fleet scenarios/fleet/herd.toml --seeds 10
+  burlpass-lab fleet scenarios/fleet/*.toml --seeds 10 --json before.json
+  burlpass-lab fleet scenarios/fleet/*.toml --seeds 10 --against before.json
+  burlpass-lab fleet scenarios/fleet/join.toml --sidecars 1000
+  burlpass-lab fleet scenarios/fleet/cold/*.toml --cold --seeds 200 --sidecars 80,300,1000 --skew 0,1.2
+  burlpass-lab fleet scenarios/fleet/*.toml --classes`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if seeds == 0 {
@@ -76,17 +77,17 @@
 			if against != "" {
 				text, err := os.ReadFile(against)
 				if err != nil {
-					return failure(err)
+					return cli.Failure(err)
 				}
 				if err := json.Unmarshal(text, &before); err != nil {
-					return failure(fmt.Errorf("%s: %w", against, err))
+					return cli.Failure(fmt.Errorf("%s: %w", against, err))
 				}
 			}
 			var days []fleetDay
 			for _, path := range args {
 				s, err := scenario.Load(path)
 				if err != nil {
-					return failure(printLeadingFaults(a, err))
+					return cli.Failure(printLeadingFaults(a, err))
 				}
 				if rate > 0 {
 					s.Clients.Rate = rate
@@ -98,7 +99,7 @@
 				days = append(days, more...)
 			}
 			if err := playDays(days, classes); err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			switch {
 			case cold:
@@ -112,11 +113,11 @@
 				printFleetComparison(a.stdout, before, days)
 			}
 			if err := writeFile(jsonFile, func(w io.Writer) error { return json.NewEncoder(w).Encode(days) }); err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			for _, d := range days {
 				if v := d.Result.Report.Violations; len(v) > 0 {
-					return failure(fmt.Errorf("%s seed %d: %d rules broken, first: %v", d.Scenario, d.Seed, len(v)+d.Result.Report.MoreBroken, v[0]))
+					return cli.Failure(fmt.Errorf("%s seed %d: %d rules broken, first: %v", d.Scenario, d.Seed, len(v)+d.Result.Report.MoreBroken, v[0]))
 				}
 			}
 			return nil
--- a/internal/cli/fleet_classes.go
+++ b/internal/labcli/fleet_classes.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"fmt"
--- a/internal/cli/fleet_test.go
+++ b/internal/labcli/fleet_test.go
@@ -1,10 +1,12 @@
-package cli
+package labcli
 
 import (
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"burlpass/internal/cli"
 )
 
 // One command plays all combinations of sidecar counts and skews, and prints unsafe classes before keyed and safe ones.
@@ -14,9 +16,9 @@
 	if err := os.WriteFile(scenarioPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	code, out, err := runCommand("lab", "fleet", scenarioPath, "--cold", "--seeds", "2", "--sidecars", "3,6", "--skew", "0,2")
+	code, out, err := runCommand("fleet", scenarioPath, "--cold", "--seeds", "2", "--sidecars", "3,6", "--skew", "0,2")
 	lines := strings.Split(out, "\n")
-	if code != ExitOK || len(lines) < 5 {
+	if code != cli.ExitOK || len(lines) < 5 {
 		t.Fatalf("code %d: %s%s", code, out, err)
 	}
 	for i, want := range []string{"x 3 0 2", "x 3 2 2", "x 6 0 2", "x 6 2 2"} {
@@ -24,13 +26,13 @@
 			t.Errorf("row %d: %q, want %q", i, got, want)
 		}
 	}
-	code, out, err = runCommand("lab", "fleet", scenarioPath, "--classes", "--seeds", "1")
-	if a, b, c := strings.Index(out, "booking"), strings.Index(out, "paid-extra"), strings.Index(out, "availability"); code != ExitOK ||
+	code, out, err = runCommand("fleet", scenarioPath, "--classes", "--seeds", "1")
+	if a, b, c := strings.Index(out, "booking"), strings.Index(out, "paid-extra"), strings.Index(out, "availability"); code != cli.ExitOK ||
 		a < 0 || a > b || b > c || strings.Count(out, "worst") != 1 {
 		t.Errorf("code %d: %s%s", code, out, err)
 	}
 	for _, args := range []string{"--skew x", "--skew 4", "--sidecars 0", "--cold --classes"} {
-		if code, _, err := runCommand(append([]string{"lab", "fleet", scenarioPath}, strings.Fields(args)...)...); code != ExitUsage {
+		if code, _, err := runCommand(append([]string{"fleet", scenarioPath}, strings.Fields(args)...)...); code != cli.ExitUsage {
 			t.Errorf("%s: code %d, %s", args, code, err)
 		}
 	}
--- a/internal/cli/lab.go
+++ b/internal/labcli/lab.go
@@ -1,9 +1,12 @@
-package cli
+// Package labcli implements the command line of the laboratory and of the simulation. The work of each command is done by other
+// packages. A day is one run of a scenario.
+package labcli
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -14,6 +17,8 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
+	"burlpass/internal/cli"
+	"burlpass/internal/config"
 	"burlpass/internal/lab/reference"
 	"burlpass/internal/lab/report"
 	"burlpass/internal/lab/scenario"
@@ -21,17 +26,49 @@
 	"burlpass/internal/lab/world"
 )
 
-func (a *app) labCommand() *cobra.Command {
-	lab := &cobra.Command{
-		Use:   "lab",
-		Short: "Play days of trouble against real sidecars on loopback, and judge them",
+// app holds the output streams and options that all commands share.
+type app struct {
+	getenv         func(string) string
+	stdout, stderr io.Writer
+	server         *cli.Server // runs a sidecar within this program
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	a := &app{getenv: getenv, stdout: stdout, stderr: stderr, server: &cli.Server{Getenv: getenv, Stderr: stderr}}
+	return cli.Execute(a.rootCommand(), args, stdout, stderr)
+}
+
+func (a *app) rootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "burlpass-lab",
+		Short: "Play days of trouble against sidecars and judge them",
 		Long: `The laboratory plays a scenario: workers, a registry and clients on loopback sockets, sidecars as child
-processes, and a script of faults. Its judge goes by what passed on the sockets. docs/laboratory.md has the whole.`,
-		Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error { return c.Help() },
+processes, and a script of faults. Its judge goes by what passed on the sockets. docs/laboratory.md has the whole.
+
+Exit codes: 0 done; 1 something is wrong with what was run, checked or read; 2 wrong usage.`,
+		Example: "  burlpass-lab run scenarios/small-day.toml --html report.html",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return c.Help() },
+	}
+	a.server.AddFlags(root.PersistentFlags())
+	root.AddCommand(a.labRunCommand(), a.labCompareCommand(), a.labListCommand(), a.labReportCommand(), a.labFleetCommand(), a.labCountCommand(),
+		a.labSoakCommand(), a.labCrowdCommand(), a.labFailingCommand(), a.referenceCommand(), a.simCommand(), a.keysCommand())
+	return root
+}
+
+// keysCommand prints a reference table that docs/configuration.md contains.
+func (a *app) keysCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "keys",
+		Short:   "Print every key of scenarios, with type, default and range",
+		Example: "  burlpass-lab keys",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			fmt.Fprintf(a.stdout, "## A scenario of the laboratory\n\n%s", config.Reference(scenario.Keys()))
+			return nil
+		},
 	}
-	lab.AddCommand(a.labRunCommand(), a.labCompareCommand(), a.labListCommand(), a.labReportCommand(), a.labFleetCommand(), a.labCountCommand(), a.labSoakCommand(), a.labFailingCommand(), a.referenceCommand())
-	return lab
 }
 
 // build is the program that runs as the sidecars of a day.
@@ -40,7 +77,13 @@
 	command []string
 }
 
-// parseBuild parses the value of --build or an argument of compare: "self", "reference:POLICY", or a program's path
+// ownBuild is the name of the sidecar that lies in this program's folder.
+const ownBuild = "self"
+
+// ownSidecar returns the path of the sidecar that lies in the folder of the program self.
+func ownSidecar(self string) string { return filepath.Join(filepath.Dir(self), "burlpass") }
+
+// parseBuild parses the value of --build or an argument of compare: ownBuild, "reference:POLICY", or a program's path
 // and arguments.
 func parseBuild(text string) (build, error) {
 	self, err := os.Executable()
@@ -48,14 +91,14 @@
 		return build{}, err
 	}
 	words := strings.Fields(text)
-	if len(words) == 0 || words[0] == "self" {
-		return build{"self", []string{self, "serve"}}, nil
+	if len(words) == 0 || words[0] == ownBuild {
+		return build{ownBuild, []string{ownSidecar(self), "serve"}}, nil
 	}
 	if policy, ok := strings.CutPrefix(words[0], "reference:"); ok {
 		if !slices.Contains(reference.Policies(), policy) {
 			return build{}, fmt.Errorf("unknown reference %q; one of %s is expected", policy, strings.Join(reference.Policies(), ", "))
 		}
-		return build{words[0], []string{self, "lab", "reference", policy}}, nil
+		return build{words[0], []string{self, "reference", policy}}, nil
 	}
 	path, err := filepath.Abs(words[0])
 	if err != nil {
@@ -84,8 +127,8 @@
 		Short: "Play one day and judge it",
 		Long: `Plays one day of a scenario with this program (or --build) as the sidecars.
 Exit code 0: the rules were kept; 1: a rule was broken, or the day is void because the laboratory ran late.`,
-		Example: `  burlpass lab run scenarios/small-day.toml
-  burlpass lab run scenarios/hall-loss.toml --seed 7 --html report.html --json report.json`,
+		Example: `  burlpass-lab run scenarios/small-day.toml
+  burlpass-lab run scenarios/hall-loss.toml --seed 7 --html report.html --json report.json`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			b, err := parseBuild(buildText)
@@ -94,27 +137,27 @@
 			}
 			s, err := scenario.Load(args[0])
 			if err != nil {
-				return failure(printLeadingFaults(a, err))
+				return cli.Failure(printLeadingFaults(a, err))
 			}
 			ctx, cancel := interruptContext()
 			defer cancel()
 			day, err := a.playDay(ctx, s, seed, b, settings, logs, quiet)
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			day.Text(a.stdout)
 			if err := writeFile(jsonFile, day.JSON); err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			if err := writeFile(htmlFile, day.HTML); err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
-			return failure(day.Verdict())
+			return cli.Failure(day.Verdict())
 		},
 	}
 	flags := command.Flags()
 	flags.Uint64Var(&seed, "seed", 1, "what the day is drawn from")
-	flags.StringVar(&buildText, "build", "self", "sidecar to play: self, or a program with its arguments")
+	flags.StringVar(&buildText, "build", ownBuild, "sidecar to play: self, or a program with its arguments")
 	flags.StringArrayVar(&settings, "set", nil, "setting of the sidecars, as path=value; may be repeated")
 	flags.StringVar(&logs, "logs", "", "folder for the sidecars' configurations and logs; one that is deleted where empty")
 	flags.StringVar(&jsonFile, "json", "", "write the report as JSON to this file")
@@ -173,7 +216,7 @@
 	return &cobra.Command{
 		Use:     "list [FOLDER]",
 		Short:   "List the scenarios of a folder, with what each is for",
-		Example: "  burlpass lab list scenarios",
+		Example: "  burlpass-lab list scenarios",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			folder := "scenarios"
@@ -185,7 +228,7 @@
 				return err
 			}
 			if len(paths) == 0 {
-				return failure(fmt.Errorf("no scenario in %s", folder))
+				return cli.Failure(fmt.Errorf("no scenario in %s", folder))
 			}
 			invalid := 0
 			for _, path := range paths {
@@ -199,7 +242,7 @@
 					s.Length, s.Workers, s.Sidecars, s.About)
 			}
 			if invalid > 0 {
-				return failure(errors.New("a scenario has faults"))
+				return cli.Failure(errors.New("a scenario has faults"))
 			}
 			return nil
 		},
--- a/internal/cli/sim.go
+++ b/internal/labcli/sim.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"cmp"
@@ -20,6 +20,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"burlpass/internal/cli"
 	"burlpass/internal/sim"
 	"burlpass/internal/sim/runner"
 )
@@ -64,15 +65,15 @@
 		Short: "Play days drawn from a range of seeds",
 		Long: `Plays the days of a range of seeds on all cores and prints each that breaks a rule, with the command that replays it.
 Exit code 0: none did; 1: some did.`,
-		Example: `  burlpass sim run --count 300
-  burlpass sim run --from 5000 --count 10000 --keep-on`,
+		Example: `  burlpass-lab sim run --count 300
+  burlpass-lab sim run --from 5000 --count 10000 --keep-on`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			ctx, cancel := interruptContext()
 			defer cancel()
 			r, err := a.newSimulator(ctx, wasm, overlay)
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			defer r.Close(context.Background())
 			outcomes, err := playSeeds(ctx, r, from, count, parallel, func(o *sim.Outcome) bool {
@@ -83,10 +84,10 @@
 			})
 			a.printSimSummary(outcomes)
 			if err != nil && !errors.Is(err, context.Canceled) {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			if err := writeFile(jsonFile, func(w io.Writer) error { return json.NewEncoder(w).Encode(outcomes) }); err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			failed := 0
 			for _, o := range outcomes {
@@ -95,7 +96,7 @@
 				}
 			}
 			if failed > 0 {
-				return failure(fmt.Errorf("%d of %d days broke a rule; burlpass sim replay SEED shows one", failed, len(outcomes)))
+				return cli.Failure(fmt.Errorf("%d of %d days broke a rule; burlpass-lab sim replay SEED shows one", failed, len(outcomes)))
 			}
 			return nil
 		},
@@ -196,25 +197,25 @@
 	command := &cobra.Command{
 		Use:   "replay SEED|FILE",
 		Short: "Play one day again and print its whole course",
-		Example: `  burlpass sim replay 4711 | less
-  burlpass sim replay internal/sim/corpus/overlap.json`,
+		Example: `  burlpass-lab sim replay 4711 | less
+  burlpass-lab sim replay internal/sim/corpus/overlap.json`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			script, play, done, err := a.prepareDay(args[0], wasm, overlay)
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			defer done()
 			o, err := play(sim.Request{Script: script, Trace: true})
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			for _, line := range o.Trace {
 				fmt.Fprintln(a.stdout, line)
 			}
 			fmt.Fprintln(a.stdout, o.Summary())
 			if o.Bad() {
-				return failure(errors.New("a rule was broken"))
+				return cli.Failure(errors.New("a rule was broken"))
 			}
 			return nil
 		},
@@ -231,23 +232,23 @@
 		Short: "Take away from a day that breaks a rule while it still does, and print the smallest script",
 		Long: `Removes faults, sidecars, workers and calls, halves lengths and calms the network, as long as a rule is broken that the
 day broke before. --out keeps the script as a file, such as the corpus holds.`,
-		Example: "  burlpass sim shrink 4711 --out internal/sim/corpus/found.json",
+		Example: "  burlpass-lab sim shrink 4711 --out internal/sim/corpus/found.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			script, play, done, err := a.prepareDay(args[0], wasm, overlay)
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			defer done()
 			smallest, o, err := sim.Shrink(script, func(s *sim.Script) (*sim.Outcome, error) { return play(sim.Request{Script: s}) })
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			fmt.Fprintln(a.stdout, o.Summary())
 			if out != "" {
-				return failure(writeFile(out, smallest.Write))
+				return cli.Failure(writeFile(out, smallest.Write))
 			}
-			return failure(smallest.Write(a.stdout))
+			return cli.Failure(smallest.Write(a.stdout))
 		},
 	}
 	command.Flags().StringVar(&wasm, "wasm", "", "a guest compiled before, in place of building one")
@@ -260,7 +261,7 @@
 	return &cobra.Command{
 		Use:     "list [FOLDER]",
 		Short:   "List the corpus: the days that once broke a rule, and why",
-		Example: "  burlpass sim list internal/sim/corpus",
+		Example: "  burlpass-lab sim list internal/sim/corpus",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			folder := "internal/sim/corpus"
@@ -272,7 +273,7 @@
 			for _, path := range paths {
 				s, err := sim.ReadScript(path)
 				if err != nil {
-					return failure(err)
+					return cli.Failure(err)
 				}
 				fmt.Fprintf(t, "%s\t%d faults\t%s\n", filepath.Base(path), len(s.Scenario.Faults), s.Why)
 			}
@@ -289,15 +290,15 @@
 		Short: "Put known faults into the program and tell after how many seeds each is found",
 		Long: `Builds the program with one fault at a time, by go build -overlay, and plays seeds until a rule breaks.
 Exit code 0: every fault was found; 1: some was not.`,
-		Example: `  burlpass sim mutants --seeds 200
-  burlpass sim mutants --only late-list --only older-list`,
+		Example: `  burlpass-lab sim mutants --seeds 200
+  burlpass-lab sim mutants --only late-list --only older-list`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			ctx, cancel := interruptContext()
 			defer cancel()
 			dir, err := os.MkdirTemp("", "burlpass-mutants-")
 			if err != nil {
-				return failure(err)
+				return cli.Failure(err)
 			}
 			defer os.RemoveAll(dir)
 			missed := 0
@@ -309,11 +310,11 @@
 				}
 				overlay, err := m.Overlay(".", dir)
 				if err != nil {
-					return failure(err)
+					return cli.Failure(err)
 				}
 				found, rule, err := a.firstFailingSeed(ctx, overlay, seeds)
 				if err != nil {
-					return failure(fmt.Errorf("mutant %s: %w", m.Name, err))
+					return cli.Failure(fmt.Errorf("mutant %s: %w", m.Name, err))
 				}
 				after := fmt.Sprintf("%d seeds", found)
 				if found == 0 {
@@ -324,7 +325,7 @@
 				t.Flush()
 			}
 			if missed > 0 {
-				return failure(fmt.Errorf("%d mutants were not found", missed))
+				return cli.Failure(fmt.Errorf("%d mutants were not found", missed))
 			}
 			return nil
 		},
--- a/internal/cli/soak.go
+++ b/internal/labcli/soak.go
@@ -1,4 +1,4 @@
-package cli
+package labcli
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"burlpass/internal/cli"
 	"burlpass/internal/lab/faultnet"
 	"burlpass/internal/lab/report"
 	"burlpass/internal/lab/scenario"
@@ -22,6 +23,7 @@
 type soakRun struct {
 	app    *app
 	build  build
+	self   string // path of this program
 	folder string // logs of failed days
 
 	mu             sync.Mutex
@@ -42,8 +44,8 @@
 the seed. A day fails where the judge finds a rule broken or a sidecar's log says that an invariant was. The logs of a day
 that failed are kept. A day on which the laboratory itself ran late is void and counts as failed. The last line is
 "N passed, M failed".`,
-		Example: `  burlpass lab soak --seeds 20 --parallel 3
-  burlpass lab soak --from 17 --seeds 1 --shrink`,
+		Example: `  burlpass-lab soak --seeds 20 --parallel 3
+  burlpass-lab soak --from 17 --seeds 1 --shrink`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			b, err := parseBuild(buildText)
@@ -52,15 +54,19 @@
 			}
 			ctx, cancel := interruptContext()
 			defer cancel()
-			r := &soakRun{app: a, build: b, folder: folder, coverage: soak.NewCoverage()}
-			return failure(r.playSeeds(ctx, from, count, parallel, shrink))
+			self, err := os.Executable()
+			if err != nil {
+				return cli.Failure(err)
+			}
+			r := &soakRun{app: a, build: b, self: self, folder: folder, coverage: soak.NewCoverage()}
+			return cli.Failure(r.playSeeds(ctx, from, count, parallel, shrink))
 		},
 	}
 	flags := command.Flags()
 	flags.Uint64Var(&from, "from", 1, "the first seed")
 	flags.IntVar(&count, "seeds", 10, "number of seeds")
 	flags.IntVar(&parallel, "parallel", 2, "days at a time")
-	flags.StringVar(&buildText, "build", "self", "sidecar to play: self, or a program with its arguments")
+	flags.StringVar(&buildText, "build", ownBuild, "sidecar to play: self, or a program with its arguments")
 	flags.StringVar(&folder, "keep", filepath.Join(os.TempDir(), "burlpass-soak"), "folder for the logs of days that failed")
 	flags.BoolVar(&shrink, "shrink", false, "take faults out of a day that failed for as long as it still does")
 	return command
@@ -74,14 +80,14 @@
 		Short: "Run one sidecar as serve does, with system calls that fail in bursts",
 		Long: `Runs one sidecar as serve does. Calls to accept, connect, read and write fail in bursts drawn from the seed and
 EDGE_NAME, as the manual pages of Linux say that they may, and reads are short. lab soak plays it on one day in three.`,
-		Example: `  EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.json burlpass lab failing --seed 3`,
+		Example: `  EDGE_NAME=n0 EDGE_LISTEN=127.0.0.1:3000 EDGE_DISCOVERY=127.0.0.1:8500 EDGE_CONFIG=config.json burlpass-lab failing --seed 3`,
 		Hidden:  true,
 		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			name := fnv.New64a()
 			name.Write([]byte(a.getenv("EDGE_NAME"))) // so that each sidecar has different bursts
 			network := faultnet.New(seed^name.Sum64(), a.getenv("EDGE_DISCOVERY"))
-			err := a.serveOn(network)
+			err := a.server.Serve(network)
 			fmt.Fprintf(a.stderr, "event=failed_calls %s\n", network.Counts())
 			return err
 		},
@@ -95,28 +101,15 @@
 
 // buildForSeed returns the build for the day of a seed: with failing system calls on some of them.
 func (r *soakRun) buildForSeed(seed uint64) build {
-	if r.build.name != "self" || !soak.FailingCalls(seed) {
+	if r.build.name != ownBuild || !soak.FailingCalls(seed) {
 		return r.build
 	}
-	return build{"self, calls fail", []string{r.build.command[0], "lab", failingCommandName, "--seed", strconv.FormatUint(seed, 10)}}
+	return build{"self, calls fail", []string{r.self, failingCommandName, "--seed", strconv.FormatUint(seed, 10)}}
 }
 
 // playSeeds plays the days, up to parallel at once, and prints the summary.
 func (r *soakRun) playSeeds(ctx context.Context, from uint64, count, parallel int, shrink bool) error {
-	seeds := make(chan uint64)
-	var group sync.WaitGroup
-	for range max(parallel, 1) {
-		group.Go(func() {
-			for seed := range seeds {
-				r.playSeed(ctx, seed, shrink)
-			}
-		})
-	}
-	for seed := from; seed < from+uint64(count) && ctx.Err() == nil; seed++ {
-		seeds <- seed
-	}
-	close(seeds)
-	group.Wait()
+	forEachSeed(ctx, from, count, parallel, func(seed uint64) { r.playSeed(ctx, seed, shrink) })
 	r.printCoverage()
 	if len(r.void) > 0 {
 		slices.Sort(r.void)
--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"burlpass/internal/logging"
+	"burlpass/internal/membership/member"
 	"burlpass/internal/transport"
 )
 
@@ -74,7 +75,7 @@
 	if _, err := c.parseJSON([]byte(text)); err != nil {
 		tb.Fatal(err)
 	}
-	c.Cluster = cluster
+	c.Cluster, c.OpenCluster = cluster, member.Open
 	sidecar, err := New(transport.System{}, c, logging.Discard())
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/program/cluster.go
+++ b/internal/program/cluster.go
@@ -8,20 +8,13 @@
 	"path/filepath"
 	"time"
 
-	"burlpass/internal/limits"
 	"burlpass/internal/maintenance"
+	"burlpass/internal/membership"
 	"burlpass/internal/operator"
 	"burlpass/internal/orders"
 	"burlpass/internal/statefile"
 )
 
-// clusterMember is this process's membership in a cluster.
-type clusterMember interface {
-	orders.Member
-	limits.Member
-	Close() error
-}
-
 // orderTimeout bounds how long an order may take to commit while the operator waits; the rest of operator.OrderTimeout is left
 // for the reply.
 const orderTimeout = operator.OrderTimeout - 100*time.Millisecond
@@ -81,9 +74,34 @@
 }
 
 // openMember opens the cluster member that the configuration describes, or returns nil if it has none.
-func openMember(cfg *Config, logger *slog.Logger) (clusterMember, error) {
-	if cfg.Cluster == nil {
+func openMember(cfg *Config, logger *slog.Logger) (membership.Member, error) {
+	c := cfg.Cluster
+	if c == nil {
 		return nil, nil
 	}
-	return openCluster(cfg.Cluster, logger)
+	if cfg.OpenCluster == nil {
+		return nil, errors.New("cluster: not supported by this program")
+	}
+	m, err := cfg.OpenCluster(membership.Config{
+		Name:   c.Name,
+		Member: c.Member,
+		Listen: c.Listen,
+		Folder: c.Folder,
+		Voters: memberPeers(c.Voters),
+		Follow: memberPeers(c.Follow),
+		Rules:  c.Rules,
+	}, logger)
+	if err != nil {
+		return nil, err
+	}
+	logger.Info("cluster_start", "cluster", c.Name, "member", c.Member, "votes", c.Voting(), "listen", m.Addr().String())
+	return m, nil
+}
+
+func memberPeers(peers []ClusterPeer) []membership.Peer {
+	converted := make([]membership.Peer, 0, len(peers))
+	for _, peer := range peers {
+		converted = append(converted, membership.Peer{Name: peer.Name, Addr: peer.Addr})
+	}
+	return converted
 }
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -17,6 +17,7 @@
 
 	"burlpass/decide"
 	"burlpass/internal/config"
+	"burlpass/internal/membership"
 	"burlpass/internal/protocol"
 	"burlpass/internal/routing"
 )
@@ -38,6 +39,8 @@
 	Names    routing.Names
 	Cluster  *ClusterConfig // nil: not a cluster member
 
+	OpenCluster membership.Opener // opens the member that Cluster describes; nil in a program without support for clusters
+
 	// Trace, if set, is called under the router's lock with every event and the actions that the decision module chose.
 	Trace func(now time.Duration, e decide.Event, actions []decide.Action, name func(decide.ServerID) string)
 
--- a/internal/program/rules.go
+++ b/internal/program/rules.go
@@ -90,7 +90,7 @@
 		UnderWay: cluster.UnderWay,
 		Segment:  cluster.Segment,
 	}
-	registerRuleMetrics(s.member, s.enforcer)
+	s.member.RegisterRules(s.enforcer)
 }
 
 // startRules starts the goroutines that keep rules, limits, API versions and usage reports up to date. The returned stop ends
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -18,6 +18,7 @@
 	"burlpass/internal/invariant"
 	"burlpass/internal/limits"
 	"burlpass/internal/maintenance"
+	"burlpass/internal/membership"
 	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
 	"burlpass/internal/routing"
@@ -60,7 +61,7 @@
 	router        atomic.Pointer[routing.Router] // set by Run
 	drained       atomic.Bool                    // by an operator's DRAIN
 	adminListener net.Listener                   // for operators; nil if not configured
-	member        clusterMember                  // nil without a cluster
+	member        membership.Member              // nil without a cluster
 	reloads       int                            // that this process has followed; guarded by the mutex of sharedOrders once that is in use
 	gate          routing.Gate                   // enforces the cluster's rules; nil without rules
 	origins       *protocol.OriginConfig         // where calls carry the attributes that rules match
