Buffers of a connection are as large as what has come, and can be taken from a budget

A connection reads through 1 KiB; a head collects beside it; a header line takes 6 bytes; one block holds the head for a backend in place of a slice a line; what nobody looks at is read into a shared buffer once there is something to read; the body of an error is dropped as it comes. internal/memory is the budget that heads, bodies, responses, pieces in transit and requests sent ahead are taken from and given back to once; nothing sets it yet.

A Connection header may name 32 headers at most: each was compared with each header of the message, which a hostile client could make four million comparisons. Whether a client has left behind unread bytes is also asked of the kernel now.

--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"burlpass/internal/memory"
 	"burlpass/internal/transport"
 )
 
@@ -27,7 +28,7 @@
 	end := time.Now().Add(discardTimeout)
 	for n := 0; n < MaxBody && time.Now().Before(end) && c.Closing.Err() == nil; {
 		c.SetReadBounds(transport.ReadBounds{Until: time.Now().Add(discardReadTimeout), NoRequest: true})
-		m, err := c.r.Discard(maxHeadBytes)
+		m, err := c.discard()
 		if n += m; err != nil {
 			return
 		}
@@ -62,7 +63,11 @@
 			"since_last_byte", time.Since(c.LastByte()).Round(time.Millisecond), "age", time.Since(c.ConnectedAt()).Round(time.Millisecond), "more", suppressed)
 	}
 	c.closing = c.closing || c.NearLimit()
-	c.writeResponse(f.status, nil, "", []byte(f.text+"\n"))
+	extra := ""
+	if f.status == statusRefused {
+		extra = (&Answer{Wait: c.Advice}).retryAfterHeader()
+	}
+	c.writeResponse(f.status, nil, extra, []byte(f.text+"\n"))
 }
 
 // Limits on reading from a client after the write side of its connection has been closed.
@@ -91,9 +96,8 @@
 		wait = shortLingerTimeout
 	}
 	c.SetReadBounds(transport.ReadBounds{Until: time.Now().Add(wait), NoRequest: true})
-	piece := make([]byte, discardBufferSize)
 	for n := 0; n < maxLingerBytes; {
-		m, err := c.Client.Read(piece)
+		m, err := c.discard()
 		if n += m; err != nil {
 			return
 		}
@@ -119,6 +123,9 @@
 	return s.OperatorDrained != nil && s.OperatorDrained.Load()
 }
 
+// statusRefused is the status of a request that may be retried, after the time that a Retry-After header names.
+const statusRefused = 503
+
 // answer writes the final response of a call.
 func (c *client) answer(a Answer) {
 	if c.isDraining() || c.NearLimit() {
@@ -196,7 +203,9 @@
 	c.LimitUnsent()
 	out := net.Buffers{[]byte(statusLines[200]), reply.Header, []byte(extra + framing + "\r\n")}
 	piece := reply.Body
-	buf := make([]byte, relayBufferSize)
+	var grant memory.Grant
+	defer grant.Release()
+	buf := pieceBuffer(c.Memory, &grant, relayBufferSize)
 	for {
 		switch {
 		case len(piece) > 0 && chunked:
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"burlpass/internal/memory"
 	"burlpass/internal/transport"
 )
 
@@ -88,4 +89,15 @@
 	Rest   *transport.Rest // the source of the remaining body, set by the caller that chooses this reply
 	rest   bodyReader      // decodes the remaining body
 	reuse  bool            // the connection may be reused afterwards
+	memory *memory.Budget  // limits what is held of the body; nil for no limit
+	grant  memory.Grant    // of Body
+}
+
+// Release gives back the memory of the body, which must not be used any more. Whoever gets a complete or beginning reply calls
+// it. It may be called repeatedly, and on nil.
+func (r *Reply) Release() {
+	if r != nil {
+		r.Body = nil
+		r.grant.Release()
+	}
 }
--- /dev/null
+++ b/internal/protocol/handle.go
@@ -0,0 +1,75 @@
+package protocol
+
+import (
+	"time"
+
+	"burlpass/internal/transport"
+)
+
+// logOverload logs that calls are refused because of the process's scheduling delay.
+func (s *Server) logOverload() {
+	if suppressed, ok := s.overloadLog.allow(time.Now()); ok {
+		s.Log.Warn("processor_short", "late", s.overload.delay().Round(time.Millisecond), "more", suppressed)
+	}
+}
+
+// refuse answers a call without passing it to the handler. No part of it has been sent to a worker.
+func (c *client) refuse(call *Call) {
+	c.Counters.answered(call.Class, Refused)
+	if c.upload != nil {
+		c.closing = true
+	}
+	c.answer(Answer{Verdict: Refused, Wait: c.Advice})
+	if c.upload != nil {
+		c.Enter(transport.PhaseLingering)
+		c.discardRequest()
+	}
+}
+
+// handle passes a call to the handler, watches meanwhile for the client's disconnect, and writes the answer.
+func (c *client) handle(call *Call) {
+	c.overload.begin(c.Closing)
+	defer c.overload.end()
+	watcher := c.newDisconnectWatcher()
+	call.ClientLeft, call.IsConnected = watcher.disconnected, watcher.isConnected
+	if c.upload == nil {
+		c.ClearReadBounds()
+	}
+	go watcher.watch()
+	answer := c.Handler.Serve(call)
+	defer answer.Reply.Release()
+	c.checkAnswered(watcher)
+	c.Counters.answered(call.Class, answer.Verdict) // before it is written: a client that has the answer finds it counted
+	if c.upload != nil {
+		c.answerUpload(watcher, answer)
+		return
+	}
+	c.closing = c.closing || watcher.hasDisconnected()
+	c.answer(answer)
+	c.lastAnswered = time.Now()
+	watcher.end()
+	c.broken = c.broken || watcher.hasDisconnected()
+	c.closing = c.closing || c.broken // what the client has sent ahead is not parsed as a request
+}
+
+// answerUpload answers a call whose message may not have been read completely.
+func (c *client) answerUpload(watcher *disconnectWatcher, answer Answer) {
+	err := c.upload.state()
+	if err == nil {
+		c.closing = c.isLastCall() || watcher.hasDisconnected()
+	}
+	rejected := err != nil && err != errBodyNotRead
+	if rejected {
+		c.reject(err)
+	} else {
+		c.answer(answer)
+	}
+	c.upload.stop()
+	watcher.end()
+	c.broken = c.broken || watcher.hasDisconnected() && !rejected
+	c.closing = c.closing || c.broken
+	if err != nil && !rejected {
+		c.Enter(transport.PhaseLingering)
+		c.discardRequest()
+	}
+}
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -6,16 +6,22 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strconv"
 )
 
 // Limits on what is read from a connection.
 const (
-	maxHeadBytes    = 8 << 10  // at most the size of the connection's buffer
+	maxHeadBytes    = 8 << 10
 	MaxBody         = 32 << 20 // bytes of a request or response body
 	maxBufferedBody = 64 << 10 // bytes of a body that is buffered whole
 	maxLineBytes    = 256      // bytes of a chunk-size line or a trailer line
+
+	initialHeadBytes = 1 << 10 // capacity for a head that every connection has
+	initialFields    = 32      // likewise, of its table of header lines
+	fieldBytes       = 6       // of an entry of that table
+
+	// maxConnectionOptions limits the headers that a message names in Connection, each of which is compared with each header.
+	maxConnectionOptions = 32
 )
 
 // Parse errors.
@@ -32,8 +38,8 @@
 
 func malformed(what string) error { return fmt.Errorf("%w: %s", ErrMalformed, what) }
 
-// field is one header line. Its slices point into the head.
-type field struct{ name, value, line []byte }
+// field is one header line, as offsets into the raw head: hundreds of heads of very many short lines may be held at a time.
+type field struct{ start, colon, end uint16 } // end is that of the value's line, without the line end
 
 // head is a parsed HTTP/1.1 request or response head. All slices point into raw.
 type head struct {
@@ -42,41 +48,84 @@
 	fields     []field
 	length     int64 // Content-Length, -1 if absent
 	chunked    bool
-	closeAfter bool // the connection ends after this message
+	closeAfter bool    // the connection ends after this message
+	options    []field // the Connection headers that name headers of this connection
 }
 
-// readHead reads up to the empty line and copies the head into h.raw, so that it outlives the read buffer.
-func readHead(r *bufio.Reader, h *head) error {
-	seen := 0
+// name returns a header's name.
+func (h *head) name(f field) []byte { return h.raw[f.start:f.colon] }
+
+// value returns a header's value.
+func (h *head) value(f field) []byte { return bytes.Trim(h.raw[f.colon+1:f.end], " \t") }
+
+// line returns a header's whole line.
+func (h *head) line(f field) []byte { return h.raw[f.start : f.end+2] }
+
+// ensureRoom grows h.raw so that n more bytes fit. reserve is asked for the memory beyond what a connection always has.
+func (h *head) ensureRoom(n int, reserve func(bytes int) error) error {
+	size := cap(h.raw)
+	if len(h.raw)+n <= size {
+		return nil
+	}
+	size = max(size, initialHeadBytes)
+	for size < len(h.raw)+n {
+		size *= 2
+	}
+	if added := size - max(cap(h.raw), initialHeadBytes); reserve != nil && added > 0 {
+		if err := reserve(added); err != nil {
+			return err
+		}
+	}
+	h.raw = append(make([]byte, 0, size), h.raw...)
+	return nil
+}
+
+// shrink drops the buffers of an unusually large head.
+func (h *head) shrink() {
+	if cap(h.raw) > initialHeadBytes || cap(h.fields) > initialFields {
+		*h = head{}
+	}
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// readHead reads up to the empty line and copies the head into h.raw, so that it outlives the read buffer. The memory for a
+// long head is taken from reserve, which may be nil.
+func readHead(r *bufio.Reader, h *head, reserve func(bytes int) error) error {
+	h.raw = h.raw[:0]
 	for {
-		if _, err := r.Peek(seen + 1); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return ErrHeadTooBig
-			}
-			if err == io.EOF && seen > 0 {
+		if _, err := r.Peek(1); err != nil {
+			if err == io.EOF && len(h.raw) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
 			return err
 		}
-		b, _ := r.Peek(r.Buffered())
-		if i := bytes.Index(b[max(seen-3, 0):], []byte("\r\n\r\n")); i >= 0 {
-			n := max(seen-3, 0) + i + 4
-			if n > maxHeadBytes {
-				return ErrHeadTooBig
-			}
-			h.raw = append(h.raw[:0], b[:n]...)
-			r.Discard(n)
-			return nil
+		b, _ := r.Peek(min(r.Buffered(), maxHeadBytes+1-len(h.raw)))
+		read := len(h.raw)
+		if err := h.ensureRoom(len(b), reserve); err != nil {
+			return err
+		}
+		h.raw = append(h.raw, b...)
+		from := max(read-len(headEnd)+1, 0)
+		if i := bytes.Index(h.raw[from:], headEnd); i >= 0 {
+			h.raw = h.raw[:from+i+len(headEnd)]
 		}
-		if seen = len(b); seen >= maxHeadBytes {
+		r.Discard(len(h.raw) - read)
+		switch {
+		case len(h.raw) > maxHeadBytes:
+			return ErrHeadTooBig
+		case bytes.HasSuffix(h.raw, headEnd):
+			return nil
+		case len(h.raw) == maxHeadBytes:
 			return ErrHeadTooBig
 		}
 	}
 }
 
-// parse splits h.raw in place.
-func (h *head) parse() error {
-	h.fields, h.length, h.chunked, h.closeAfter = h.fields[:0], -1, false, false
+// parse splits h.raw in place. The memory for very many fields is taken from reserve, which may be nil.
+func (h *head) parse(reserve func(bytes int) error) error {
+	h.fields, h.length, h.chunked, h.closeAfter, h.options = h.fields[:0], -1, false, false, h.options[:0]
+	options := 0
 	line, rest, _ := bytes.Cut(h.raw, []byte("\r\n"))
 	if !hasNoControlChars(line) {
 		return malformed("start line")
@@ -87,62 +136,90 @@
 		return malformed("start line")
 	}
 	h.startLine[1], h.startLine[2], _ = bytes.Cut(tail, []byte(" "))
-	for {
-		end := bytes.Index(rest, []byte("\r\n"))
-		if end < 0 {
+	if lines := bytes.Count(rest, []byte("\n")) - 1; lines > cap(h.fields) {
+		if reserve != nil && lines > initialFields {
+			if err := reserve(lines * fieldBytes); err != nil {
+				return err
+			}
+		}
+		h.fields = make([]field, 0, max(lines, initialFields))
+	}
+	for at := len(h.raw) - len(rest); ; {
+		length := bytes.Index(h.raw[at:], []byte("\r\n"))
+		if length < 0 {
 			return malformed("head cut short")
 		}
-		if end == 0 {
+		if length == 0 {
 			return nil
 		}
-		f := field{line: rest[:end+2]}
-		rest = rest[end+2:]
-		colon := bytes.IndexByte(f.line, ':')
+		colon := bytes.IndexByte(h.raw[at:at+length], ':')
 		if colon < 1 {
 			return malformed("header line without a name")
 		}
-		f.name, f.value = f.line[:colon], bytes.Trim(f.line[colon+1:len(f.line)-2], " \t")
-		if !isToken(f.name) || !hasNoControlChars(f.value) {
+		f := field{uint16(at), uint16(at + colon), uint16(at + length)}
+		if !isToken(h.name(f)) || !hasNoControlChars(h.value(f)) {
 			return malformed("header line")
 		}
 		if err := h.parseFraming(f); err != nil {
 			return err
 		}
+		if options += h.parseConnection(f); options > maxConnectionOptions {
+			return malformed("too many connection options")
+		}
 		h.fields = append(h.fields, f)
+		at += length + 2
 	}
 }
 
 // parseFraming records the headers that determine where the message ends. Ambiguous framing is rejected: a client and a
 // worker that disagree on where the next message starts would allow request smuggling.
 func (h *head) parseFraming(f field) error {
+	name := h.name(f)
 	switch {
-	case equalFold(f.name, "Content-Length"):
-		n, err := strconv.ParseUint(string(f.value), 10, 62)
-		if err != nil || f.value[0] == '+' {
+	case equalFold(name, "Content-Length"):
+		value := h.value(f)
+		n, err := strconv.ParseUint(string(value), 10, 62)
+		if err != nil || value[0] == '+' {
 			return malformed("Content-Length")
 		}
 		if h.chunked || h.length >= 0 && h.length != int64(n) {
 			return malformed("conflicting lengths")
 		}
 		h.length = int64(n)
-	case equalFold(f.name, "Transfer-Encoding"):
-		if h.chunked || h.length >= 0 || !equalFold(f.value, "chunked") {
+	case equalFold(name, "Transfer-Encoding"):
+		if h.chunked || h.length >= 0 || !equalFold(h.value(f), "chunked") {
 			return malformed("Transfer-Encoding")
 		}
 		h.chunked = true
-	case equalFold(f.name, "Connection"):
-		for word := range bytes.SplitSeq(f.value, []byte(",")) {
-			h.closeAfter = h.closeAfter || equalFold(bytes.TrimSpace(word), "close")
-		}
 	}
 	return nil
 }
 
+// parseConnection records what a Connection header says and returns how many headers it names. Other headers name none.
+func (h *head) parseConnection(f field) (options int) {
+	if !equalFold(h.name(f), "Connection") {
+		return 0
+	}
+	for word := range bytes.SplitSeq(h.value(f), []byte(",")) {
+		word = bytes.TrimSpace(word)
+		switch {
+		case equalFold(word, "close"):
+			h.closeAfter = true
+		case !equalFold(word, "keep-alive"):
+			options++
+		}
+	}
+	if options > 0 {
+		h.options = append(h.options, f)
+	}
+	return options
+}
+
 // get returns the value of the first header with that name, nil if there is none.
 func (h *head) get(name string) []byte {
-	for i := range h.fields {
-		if equalFold(h.fields[i].name, name) {
-			return h.fields[i].value
+	for _, f := range h.fields {
+		if equalFold(h.name(f), name) {
+			return h.value(f)
 		}
 	}
 	return nil
@@ -150,8 +227,8 @@
 
 // count returns the number of headers with that name.
 func (h *head) count(name string) (n int) {
-	for i := range h.fields {
-		if equalFold(h.fields[i].name, name) {
+	for _, f := range h.fields {
+		if equalFold(h.name(f), name) {
 			n++
 		}
 	}
@@ -164,156 +241,25 @@
 
 // isEndToEnd reports whether a header is forwarded to the other side.
 func (h *head) isEndToEnd(f field) bool {
-	for _, name := range hopByHop {
-		if equalFold(f.name, name) {
+	name := h.name(f)
+	for _, hop := range hopByHop {
+		if equalFold(name, hop) {
 			return false
 		}
 	}
-	for _, c := range h.fields {
-		if equalFold(c.name, "Connection") {
-			for word := range bytes.SplitSeq(c.value, []byte(",")) {
-				if bytes.EqualFold(bytes.TrimSpace(word), f.name) {
-					return false
-				}
-			}
-		}
-	}
-	return true
-}
-
-// bodyReader decodes a message body piece by piece, according to the framing given by its head.
-type bodyReader struct {
-	r          *bufio.Reader
-	remaining  int64 // bytes left of the body or of the current chunk
-	chunked    bool
-	untilClose bool  // the body extends to the end of the connection
-	inChunk    bool  // the line end that closes the current chunk has not been read yet
-	done       bool  // the whole body has been read
-	allowance  int64 // bytes that further chunks, or the rest of a body that extends to the connection's end, may contain
-}
-
-// body returns a reader for the body that follows a head. A body of unknown length is limited to limit bytes. A
-// message with neither a length nor chunks has no body, unless untilClose says that it extends to the end of the connection.
-func (h *head) body(r *bufio.Reader, untilClose bool, limit int64) bodyReader {
-	untilClose = untilClose && !h.chunked && h.length < 0
-	return bodyReader{r: r, remaining: max(h.length, 0), chunked: h.chunked, untilClose: untilClose, allowance: limit,
-		done: !h.chunked && !untilClose && h.length <= 0}
-}
-
-// Read implements io.Reader. It returns io.EOF, with no bytes, after the end of the body, and io.ErrUnexpectedEOF if the
-// connection ends earlier.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	switch {
-	case b.done:
-		return 0, io.EOF
-	case len(p) == 0:
-		return 0, nil
-	case b.untilClose:
-		n, err := b.r.Read(p)
-		if b.allowance -= int64(n); b.allowance < 0 {
-			return 0, ErrBodyTooBig
-		}
-		b.done = err == io.EOF
-		return n, err
-	case b.chunked && b.remaining == 0:
-		if err := b.nextChunk(); err != nil {
-			return 0, err
-		}
-	}
-	n, err := b.r.Read(p[:min(int64(len(p)), b.remaining)])
-	b.remaining -= int64(n)
-	b.done = !b.chunked && b.remaining == 0
-	return n, unexpectedEOF(err)
-}
-
-// nextChunk reads the line end of the previous chunk and the size of the next one. After the last chunk it reads the
-// trailers and returns io.EOF.
-func (b *bodyReader) nextChunk() error {
-	if b.inChunk {
-		if line, err := readLine(b.r); err != nil {
-			return err
-		} else if len(line) > 0 {
-			return malformed("chunk end")
-		}
-		b.inChunk = false
-	}
-	line, err := readLine(b.r)
-	if err != nil {
-		return err
-	}
-	size, _, _ := bytes.Cut(line, []byte(";"))
-	size = bytes.TrimRight(size, " \t")
-	n, err := strconv.ParseUint(string(size), 16, 31)
-	if err != nil || size[0] == '+' {
-		return malformed("chunk size")
-	}
-	if int64(n) > b.allowance {
-		return ErrBodyTooBig
-	}
-	if n > 0 {
-		b.allowance -= int64(n)
-		b.remaining, b.inChunk = int64(n), true
-		return nil
-	}
-	for trailer := 0; trailer <= maxHeadBytes; { // trailers are read and discarded
-		line, err := readLine(b.r)
-		if err != nil {
-			return err
-		}
-		if len(line) == 0 {
-			b.done = true
-			return io.EOF
-		}
-		trailer += len(line)
-	}
-	return ErrHeadTooBig
+	return !h.isConnectionOption(name)
 }
 
-// readUpTo appends the body to dst until dst holds limit bytes or the body ends.
-func (b *bodyReader) readUpTo(dst []byte, limit int) ([]byte, error) {
-	if !b.chunked && !b.untilClose {
-		dst = slices.Grow(dst, int(min(b.remaining, int64(limit-len(dst)))))
-	}
-	for !b.done && len(dst) < limit {
-		if len(dst) == cap(dst) {
-			dst = slices.Grow(dst, 512)
-		}
-		n, err := b.Read(dst[len(dst):min(cap(dst), limit)])
-		dst = dst[:len(dst)+n]
-		if err != nil && err != io.EOF {
-			return dst, err
+// isConnectionOption reports whether a Connection header names the header.
+func (h *head) isConnectionOption(name []byte) bool {
+	for _, f := range h.options {
+		for word := range bytes.SplitSeq(h.value(f), []byte(",")) {
+			if bytes.EqualFold(bytes.TrimSpace(word), name) {
+				return true
+			}
 		}
 	}
-	return dst, nil
-}
-
-// readBody appends a complete body to dst, and returns ErrBodyTooBig if that is longer than limit bytes.
-func readBody(r *bufio.Reader, h *head, dst []byte, limit int) ([]byte, error) {
-	if h.length > int64(limit) {
-		return dst, ErrBodyTooBig
-	}
-	body := h.body(r, false, int64(limit))
-	return body.readUpTo(dst, limit+1)
-}
-
-// readLine reads a short line and strips its line end. The slice is valid until the next read.
-func readLine(r *bufio.Reader) ([]byte, error) {
-	line, err := r.ReadSlice('\n')
-	if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-		return nil, unexpectedEOF(err)
-	}
-	if len(line) > maxLineBytes || len(line) < 2 || line[len(line)-2] != '\r' {
-		return nil, malformed("line")
-	}
-	return line[:len(line)-2], nil
-}
-
-// unexpectedEOF converts io.EOF to io.ErrUnexpectedEOF, for messages that end too early.
-func unexpectedEOF(err error) error {
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
-	}
-	return err
+	return false
 }
 
 // equalFold compares b with an ASCII name, ignoring case.
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"sync"
@@ -16,9 +15,14 @@
 	maxReadAhead      = 64 << 10 // bytes buffered to be parsed as further requests: as many as of one body
 	maxDiscard        = MaxBody  // bytes discarded beyond that; a client that sends even more is given up
 	discardBufferSize = 16 << 10 // bytes discarded per read
-	maxReadsPerCheck  = 64       // bounds one check, so that a client that never stops sending delays nobody
+
+	maxCheckTime    = 20 * time.Millisecond // bounds one check, so that a client that never stops sending delays nobody
+	aheadRetryDelay = 50 * time.Millisecond // between two checks of a client whose bytes cannot be read; a disconnect may go unnoticed for twice that
 )
 
+// errNoRoomAhead means that there is no memory for what a client has sent ahead, which stays unread for now.
+var errNoRoomAhead = errors.New("no memory for requests sent ahead")
+
 // errTooMuchSentAhead means that a client has sent more than maxDiscard bytes beyond what is buffered for further requests.
 var errTooMuchSentAhead = errors.New("client sent too much data ahead of a response")
 
@@ -38,7 +42,7 @@
 	at     time.Time
 }
 
-// maxArrivals bounds the arrivals kept; beyond it two are merged, with the earlier time.
+// maxArrivals bounds the arrivals kept; beyond it the two oldest are merged, with the earlier time.
 const maxArrivals = 32
 
 // Read reads from the connection. After truncation it returns io.EOF.
@@ -54,11 +58,11 @@
 	n, err := s.conn.Read(b)
 	if n > 0 {
 		s.totalRead += int64(n)
-		if len(s.arrivals) == maxArrivals {
-			s.arrivals[maxArrivals-1].offset = s.totalRead
-		} else {
-			s.arrivals = append(s.arrivals, arrival{s.totalRead, s.conn.LastByte()})
+		if len(s.arrivals) == maxArrivals { // of the two oldest, the later bytes are taken to have arrived with the earlier
+			s.arrivals[1].at = s.arrivals[0].at
+			s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
 		}
+		s.arrivals = append(s.arrivals, arrival{s.totalRead, s.conn.LastByte()})
 	}
 	return n, err
 }
@@ -92,6 +96,7 @@
 	mayReadAhead bool       // the request's message has been read completely, so what follows may be read ahead
 	answered     bool       // the request has been answered: the buffer belongs to the connection's own goroutine again
 	gone         bool       // disconnected is closed
+	noRoom       bool       // bytes were left unread for want of memory
 	discarded    int64      // bytes
 }
 
@@ -105,7 +110,7 @@
 func (w *disconnectWatcher) isConnected() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for range maxReadsPerCheck {
+	for start := time.Now(); time.Since(start) < maxCheckTime; {
 		if w.answered || w.gone {
 			return false
 		}
@@ -114,18 +119,28 @@
 			w.markDisconnected()
 		case transport.PendingBytes:
 			if !w.mayReadAhead { // the bytes belong to the request's own message, which this must not read
-				if w.client.PeerClosed() {
-					w.markDisconnected()
-				}
-				return !w.gone
+				return w.isPeerOpen()
+			}
+			err := w.client.readAhead(&w.discarded)
+			if errors.Is(err, errNoRoomAhead) {
+				w.noRoom = true
+				return w.isPeerOpen()
 			}
-			if err := w.client.readAhead(&w.discarded); err != nil && !isTimeout(err) {
+			if err != nil && !isTimeout(err) {
 				w.markDisconnected()
 			}
 		default:
 			return true
 		}
 	}
+	return w.isPeerOpen()
+}
+
+// isPeerOpen asks the kernel whether the client has closed its connection, behind whatever is unread. The lock must be held.
+func (w *disconnectWatcher) isPeerOpen() bool {
+	if w.client.PeerClosed() {
+		w.markDisconnected()
+	}
 	return !w.gone
 }
 
@@ -163,12 +178,29 @@
 			w.mu.Unlock()
 			return
 		}
-		if !w.isConnected() {
+		if !w.isConnected() || !w.awaitRoom() {
 			return
 		}
 	}
 }
 
+// awaitRoom waits a little if bytes had to be left unread. It returns false once the request has been answered.
+func (w *disconnectWatcher) awaitRoom() bool {
+	w.mu.Lock()
+	wait := w.noRoom
+	w.noRoom = false
+	w.mu.Unlock()
+	if !wait {
+		return true
+	}
+	select {
+	case <-w.done:
+		return false
+	case <-time.After(aheadRetryDelay):
+		return true
+	}
+}
+
 // hasDisconnected reports whether the client has been seen to disconnect.
 func (w *disconnectWatcher) hasDisconnected() bool {
 	w.mu.Lock()
@@ -190,7 +222,9 @@
 // available.
 func (c *client) readAhead(discarded *int64) error {
 	if c.source.truncated {
-		n, err := c.Client.Read(make([]byte, discardBufferSize))
+		buffer := discardBuffers.Get().(*[discardBufferSize]byte)
+		defer discardBuffers.Put(buffer)
+		n, err := c.Client.Read(buffer[:])
 		if *discarded += int64(n); *discarded > maxDiscard {
 			return errTooMuchSentAhead
 		}
@@ -200,26 +234,10 @@
 	switch {
 	case !errors.Is(err, bufio.ErrBufferFull):
 		return err
-	case c.r.Size() < maxReadAhead:
-		c.growBuffer()
-	default:
+	case c.r.Size() >= maxReadAhead:
 		c.source.truncated = true
+	case !c.growBuffer():
+		return errNoRoomAhead
 	}
 	return nil
 }
-
-// growBuffer gives the connection a larger buffer for requests that were sent ahead.
-func (c *client) growBuffer() {
-	buffered, _ := c.r.Peek(c.r.Buffered())
-	c.source.replay = bytes.Clone(buffered)
-	c.r = bufio.NewReaderSize(&c.source, maxReadAhead)
-	c.r.Peek(1) // moves all replayed bytes into the buffer
-}
-
-// shrinkBuffer returns to the connection's original buffer once the larger one is empty.
-func (c *client) shrinkBuffer() {
-	if c.r != c.smallReader && c.r.Buffered() == 0 {
-		c.smallReader.Reset(&c.source)
-		c.r = c.smallReader
-	}
-}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -19,8 +19,8 @@
 // parseRequest reads one request as the server does, from a connection that returns one byte at a time.
 func parseRequest(text string) (h head, body string, err error) {
 	r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), maxHeadBytes)
-	if err = readHead(r, &h); err == nil {
-		if err = h.parse(); err == nil {
+	if err = readHead(r, &h, nil); err == nil {
+		if err = h.parse(nil); err == nil {
 			var b []byte
 			b, err = readBody(r, &h, nil, maxBufferedBody)
 			body = string(b)
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"burlpass/internal/invariant"
+	"burlpass/internal/memory"
 	"burlpass/internal/transport"
 )
 
@@ -55,6 +56,7 @@
 	Closing         context.Context // done when connections without a call are to be closed
 	OperatorDrained *atomic.Bool    // true while an operator has drained the sidecar: has the same effect as Draining
 	Counters        *Counters       // counts the calls' answers; may be nil
+	Memory          *memory.Budget  // limits what is held of requests and responses; nil for no limit
 	OriginConfig    *OriginConfig   // where calls carry what rules match on; nil if no rules are in use
 	Log             *slog.Logger
 
@@ -71,8 +73,10 @@
 	*Server
 	*transport.Client
 	source       clientSource  // what r reads from
-	smallReader  *bufio.Reader // buffers at most one head
+	smallReader  *bufio.Reader // of connectionBuffer bytes
 	r            *bufio.Reader // smallReader, or a larger one while requests have been sent ahead
+	aheadGrant   memory.Grant  // of the larger one
+	grant        memory.Grant  // of the current request's head and body
 	head         head
 	body         []byte
 	upload       *upload   // the rest of the current call's body, nil if that is complete
@@ -97,11 +101,13 @@
 // listener closes the connection when Serve returns.
 func (s *Server) Serve(conn *transport.Client) {
 	c := &client{Server: s, Client: conn, source: clientSource{conn: conn}}
-	c.smallReader = bufio.NewReaderSize(&c.source, maxHeadBytes)
+	c.smallReader = bufio.NewReaderSize(&c.source, connectionBuffer)
 	c.r = c.smallReader
 	stop := context.AfterFunc(s.Closing, conn.EndIdleWaits)
 	defer stop()
+	defer c.aheadGrant.Release()
 	c.serveCalls()
+	c.releaseRequest()
 	c.closeGracefully()
 }
 
@@ -134,9 +140,7 @@
 			c.handle(call)
 			server.requestIDs.finish(c.head.get(headerTrace), time.Now(), server.MaxDeadline)
 		}
-		if cap(c.body) > maxHeadBytes {
-			c.body = nil // large bodies are rare; an idle connection keeps no memory for them
-		}
+		c.releaseRequest()
 	}
 }
 
@@ -178,10 +182,10 @@
 	h := &c.head
 	h.fields = h.fields[:0] // the previous request's fields must not be taken for this one's
 	c.readStage = "head"
-	if err := readHead(c.r, h); err != nil {
+	if err := readHead(c.r, h, c.reserveHead); err != nil {
 		return nil, err
 	}
-	if err := h.parse(); err != nil {
+	if err := h.parse(c.reserveHead); err != nil {
 		return nil, err
 	}
 	version := h.startLine[2]
@@ -218,7 +222,7 @@
 }
 
 // readWindow reads a short body, or the beginning of a long one.
-func (c *client) readWindow() (err error) {
+func (c *client) readWindow() error {
 	body := c.head.body(c.r, false, MaxBody)
 	c.upload, c.body = nil, c.body[:0]
 	if body.done {
@@ -230,7 +234,12 @@
 	}
 	begun := time.Now()
 	c.limitRead(bodyTimeout(int64(limit)))
-	if c.body, err = body.readUpTo(c.body, limit); err != nil {
+	if body.chunked { // most are short
+		if err := c.readBody(&body, memory.SmallBody); err != nil {
+			return err
+		}
+	}
+	if err := c.readBody(&body, limit); err != nil {
 		return err
 	}
 	if !body.done && body.chunked && body.remaining == 0 { // the body may end exactly here
@@ -240,10 +249,26 @@
 	}
 	if !body.done {
 		c.upload = newUpload(body, c.Client, time.Since(begun), int64(len(c.body)), 0)
+		c.upload.memory = c.Memory
 	}
 	return nil
 }
 
+// readBody reads a body until limit bytes of it are held or it ends.
+func (c *client) readBody(body *bodyReader, limit int) (err error) {
+	if body.done {
+		return nil
+	}
+	if !body.chunked {
+		limit = int(min(body.remaining, int64(limit)))
+	}
+	if err := c.reserveBody(limit - len(c.body)); err != nil {
+		return err
+	}
+	c.body, err = body.readUpTo(c.body, limit)
+	return err
+}
+
 // newCall builds the protocol-independent call from what has been read.
 func (c *client) newCall(path []byte) (*Call, error) {
 	for _, name := range []string{headerClass, headerTrace, headerExpires, headerIdempotencyKey} {
@@ -307,70 +332,3 @@
 	}
 	return time.Duration(f * float64(unit)), true
 }
-
-// logOverload logs that calls are refused because of the process's scheduling delay.
-func (s *Server) logOverload() {
-	if suppressed, ok := s.overloadLog.allow(time.Now()); ok {
-		s.Log.Warn("processor_short", "late", s.overload.delay().Round(time.Millisecond), "more", suppressed)
-	}
-}
-
-// refuse answers a call without passing it to the handler. No part of it has been sent to a worker.
-func (c *client) refuse(call *Call) {
-	c.Counters.answered(call.Class, Refused)
-	if c.upload != nil {
-		c.closing = true
-	}
-	c.answer(Answer{Verdict: Refused, Wait: c.Advice})
-	if c.upload != nil {
-		c.Enter(transport.PhaseLingering)
-		c.discardRequest()
-	}
-}
-
-// handle passes a call to the handler, watches meanwhile for the client's disconnect, and writes the answer.
-func (c *client) handle(call *Call) {
-	c.overload.begin(c.Closing)
-	defer c.overload.end()
-	watcher := c.newDisconnectWatcher()
-	call.ClientLeft, call.IsConnected = watcher.disconnected, watcher.isConnected
-	if c.upload == nil {
-		c.ClearReadBounds()
-	}
-	go watcher.watch()
-	answer := c.Handler.Serve(call)
-	c.checkAnswered(watcher)
-	c.Counters.answered(call.Class, answer.Verdict) // before it is written: a client that has the answer finds it counted
-	if c.upload != nil {
-		c.answerUpload(watcher, answer)
-		return
-	}
-	c.closing = c.closing || watcher.hasDisconnected()
-	c.answer(answer)
-	c.lastAnswered = time.Now()
-	watcher.end()
-	c.broken = c.broken || watcher.hasDisconnected()
-	c.closing = c.closing || c.broken // what the client has sent ahead is not parsed as a request
-}
-
-// answerUpload answers a call whose message may not have been read completely.
-func (c *client) answerUpload(watcher *disconnectWatcher, answer Answer) {
-	err := c.upload.state()
-	if err == nil {
-		c.closing = c.isLastCall() || watcher.hasDisconnected()
-	}
-	rejected := err != nil && err != errBodyNotRead
-	if rejected {
-		c.reject(err)
-	} else {
-		c.answer(answer)
-	}
-	c.upload.stop()
-	watcher.end()
-	c.broken = c.broken || watcher.hasDisconnected() && !rejected
-	c.closing = c.closing || c.broken
-	if err != nil && !rejected {
-		c.Enter(transport.PhaseLingering)
-		c.discardRequest()
-	}
-}
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"burlpass/internal/memory"
 	"burlpass/internal/transport"
 )
 
@@ -36,6 +37,7 @@
 	expires  time.Duration // how long the client waits after its last byte
 	waited   time.Duration // time spent waiting for the client since the body began; delays caused by a slow worker are not the client's
 	received int64         // bytes of the body so far
+	memory   *memory.Budget
 
 	mu           sync.Mutex
 	incompleteAt time.Time     // latest time at which the last byte had certainly not arrived
@@ -80,7 +82,9 @@
 	u.started = true
 	u.mu.Unlock()
 	defer close(u.readerDone)
-	buf := make([]byte, uploadBufferSize)
+	var grant memory.Grant
+	defer grant.Release()
+	buf := pieceBuffer(u.memory, &grant, uploadBufferSize)
 	for {
 		n, err := u.read(buf)
 		if err == io.EOF && u.body.chunked { // only the end of the chunked encoding is left to write
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"burlpass/internal/memory"
 	"burlpass/internal/transport"
 )
 
@@ -21,29 +22,42 @@
 
 // Encode assembles the request line, the end-to-end headers and the body, all unchanged.
 func (q *request) Encode(worker string, remaining time.Duration) [][]byte {
+	if q.upload != nil { // its time counts from its last byte
+		remaining = min(remaining, q.upload.expires)
+	}
+	head := q.encodeHead(worker, remaining)
+	if q.upload != nil && q.head.chunked {
+		return append([][]byte{head}, encodeChunk(q.body)...)
+	}
+	return [][]byte{head, q.body}
+}
+
+// maxAddedHead is about the number of bytes by which a head grows on its way to a worker, beside the worker's name.
+const maxAddedHead = 128
+
+// encodeHead returns the head for a worker.
+func (q *request) encodeHead(worker string, remaining time.Duration) []byte {
 	h := q.head
-	out := make([][]byte, 0, len(h.fields)+3)
+	out := make([]byte, 0, len(h.raw)+len(worker)+maxAddedHead)
 	line, _, _ := bytes.Cut(h.raw, []byte("\r\n"))
-	target := line[:len(line)-len(h.startLine[2])]
-	out = append(out, target, []byte("HTTP/1.1\r\nHost: "+worker+"\r\n"))
+	out = append(out, line[:len(line)-len(h.startLine[2])]...)
+	out = append(append(append(out, "HTTP/1.1\r\nHost: "...), worker...), "\r\n"...)
 	for _, f := range h.fields {
-		if h.isEndToEnd(f) && !equalFold(f.name, headerExpires) && !equalFold(f.name, "Host") {
-			out = append(out, f.line)
+		if h.isEndToEnd(f) && !equalFold(h.name(f), headerExpires) && !equalFold(h.name(f), "Host") {
+			out = append(out, h.line(f)...)
 		}
 	}
-	if q.upload != nil { // its time counts from its last byte
-		remaining = min(remaining, q.upload.expires)
-	}
-	tail := headerExpires + ": " + strconv.FormatInt(max(remaining.Microseconds(), 1), 10) + "u\r\n"
+	out = append(append(out, headerExpires...), ": "...)
+	out = append(strconv.AppendInt(out, max(remaining.Microseconds(), 1), 10), "u\r\n"...)
 	switch {
 	case q.upload != nil && h.chunked:
-		return append(append(out, []byte(tail+"Transfer-Encoding: chunked\r\n\r\n")), encodeChunk(q.body)...)
+		out = append(out, "Transfer-Encoding: chunked\r\n"...)
 	case q.upload != nil:
-		tail += "Content-Length: " + strconv.FormatInt(h.length, 10) + "\r\n"
+		out = append(strconv.AppendInt(append(out, "Content-Length: "...), h.length, 10), "\r\n"...)
 	case h.chunked || h.length >= 0:
-		tail += "Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n"
+		out = append(strconv.AppendInt(append(out, "Content-Length: "...), int64(len(q.body)), 10), "\r\n"...)
 	}
-	return append(out, []byte(tail+"\r\n"), q.body)
+	return append(out, "\r\n"...)
 }
 
 // Rest streams what follows the window.
@@ -70,8 +84,9 @@
 // Workers sends messages to workers over HTTP/1.1.
 type Workers struct {
 	Pool     *transport.Pool
-	Columns  []string  // of a load report, in the order of the settings
-	Counters *Counters // counts the calls' attempts that were written completely; may be nil
+	Columns  []string       // of a load report, in the order of the settings
+	Counters *Counters      // counts the calls' attempts that were written completely; may be nil
+	Memory   *memory.Budget // limits what is held of responses; nil for no limit
 }
 
 // WorkerAttempt is one attempt at a worker. Exactly one Result arrives on Done; Reply is set if that has no error.
@@ -90,7 +105,7 @@
 // Start sends a message to a worker. The worker is told the time that is left until end when the first byte is sent. guard
 // is asked once the connection is established; if it refuses, nothing is sent.
 func (w *Workers) Start(peer transport.Peer, m Message, end time.Time, guard transport.Guard, target ResultTarget) WorkerAttempt {
-	reply := &Reply{}
+	reply := &Reply{memory: w.Memory}
 	q, _ := m.(*request)
 	var written *atomic.Int64
 	if _, probing := m.(probe); !probing && w.Counters != nil {
@@ -104,6 +119,7 @@
 		Guard:    guard,
 		Read:     func(r *bufio.Reader) (bool, error) { return readReply(r, w.Columns, reply) },
 		More:     func() bool { return !reply.rest.done },
+		Dropped:  reply.Release,
 	})}
 }
 
@@ -121,10 +137,10 @@
 // readResponse reads the head of a final response and skips interim ones.
 func readResponse(r *bufio.Reader, h *head) (status int, err error) {
 	for range maxInterimResponses + 1 {
-		if err := readHead(r, h); err != nil {
+		if err := readHead(r, h, nil); err != nil {
 			return 0, err
 		}
-		if err := h.parse(); err != nil {
+		if err := h.parse(nil); err != nil {
 			return 0, err
 		}
 		status, err := strconv.Atoi(string(h.startLine[1]))
@@ -166,25 +182,10 @@
 		if h.length > MaxBody {
 			return false, ErrBodyTooBig
 		}
-		body := h.body(r, true, MaxBody)
-		limit := maxBufferedBody
-		switch {
-		case h.length > maxBufferedBody && reply.Kind != ReplyServed: // a long body of an error is of no use
-			limit, body.done, reuse = 0, true, false
-		case h.length > maxBufferedBody: // the client waits for the first bytes
-			limit = 0
-		case h.length < 0:
-			limit = bodyWindow
-		}
-		if reply.Body, err = body.readUpTo(nil, limit); err != nil {
+		if reuse, err = reply.readBody(h.body(r, true, MaxBody), &h, reuse); err != nil {
+			reply.Release()
 			return false, err
 		}
-		if !body.done && reply.Kind != ReplyServed {
-			body.done, reuse = true, false
-		}
-		if reply.rest = body; !body.done {
-			reply.Length, reply.reuse = h.length, reuse
-		}
 	}
 	if v := h.get(headerLoadReport); v != nil {
 		reply.Load = parseLoadReport(v, columns)
@@ -192,9 +193,68 @@
 		reply.Load = parseLoadReport(reply.Body, columns)
 	}
 	for _, f := range h.fields {
-		if h.isEndToEnd(f) && !equalFold(f.name, headerLoadReport) {
-			reply.Header = append(reply.Header, f.line...)
+		if h.isEndToEnd(f) && !equalFold(h.name(f), headerLoadReport) {
+			reply.Header = append(reply.Header, h.line(f)...)
 		}
 	}
 	return reuse, nil
 }
+
+// readBody reads a body, or the beginning of a successful one that is too long to buffer. reuse says whether the connection may
+// be reused after the response; the result, whether that still holds.
+func (r *Reply) readBody(body bodyReader, h *head, reuse bool) (bool, error) {
+	if r.Kind != ReplyServed {
+		return skipBody(&body, h, reuse)
+	}
+	var err error
+	if r.Body, err = body.readUpTo(nil, r.reserveBody(h)); err != nil {
+		return false, err
+	}
+	if r.rest = body; !body.done {
+		r.Length, r.reuse = h.length, reuse
+	}
+	return reuse, nil
+}
+
+// skipBody drops the body of an error, which is of no use but for the next response on the connection. A long one is not read,
+// and its connection is not reused.
+func skipBody(body *bodyReader, h *head, reuse bool) (bool, error) {
+	limit := maxBufferedBody
+	switch {
+	case h.length > maxBufferedBody:
+		return false, nil
+	case h.length < 0:
+		limit = bodyWindow
+	}
+	if err := body.discardUpTo(limit); err != nil {
+		return false, err
+	}
+	return reuse && body.done, nil
+}
+
+// reserveBody takes memory for a body and returns how much of it may be read before it is passed on: all of a short one, the
+// beginning of one of unknown length, nothing of a long one, for whose first bytes the client waits.
+func (r *Reply) reserveBody(h *head) int {
+	switch {
+	case h.length > maxBufferedBody:
+		return 0
+	case h.length >= 0:
+		return r.reserve(int(h.length))
+	}
+	if window := r.reserve(bodyWindow); window > 0 {
+		return window
+	}
+	return r.reserve(memory.SmallBody)
+}
+
+// reserve takes n bytes of memory. It returns n, or 0 if there is none.
+func (r *Reply) reserve(n int) int {
+	kind := memory.Responses
+	if n <= memory.SmallBody {
+		kind = memory.Heads
+	}
+	if !r.memory.TryAcquire(&r.grant, kind, int64(n)) {
+		return 0
+	}
+	return n
+}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -59,6 +59,7 @@
 	timedOut        bool      // aborted because the deadline passed
 	newConnection   bool      // sent over a connection opened for it
 	complete        bool      // the answer has been read in full
+	chosen          bool      // its reply is the call's answer
 }
 
 // maxAttempts bounds the command queue, where the settings allow any number of attempts, and the attempts in flight.
@@ -163,6 +164,7 @@
 				a.Reply.Rest = result.Rest
 				final = &protocol.Answer{Verdict: protocol.Served, Reply: a.Reply, Deadline: active.deadline}
 				abortAll(inFlight)
+				a.chosen = true
 			case result.Rest != nil:
 				result.Rest.Close(false)
 			case final == nil && call.Upload != nil && call.Upload.ReadStarted(): // part of the message was passed on and cannot be sent again
@@ -172,6 +174,9 @@
 				}
 			}
 			r.dispatch(active.outcomeEvent(a, status, final != nil || clientLeft == nil)) // the balancer decides what comes next
+			if a.complete && !a.chosen { // of an aborted attempt, the connection's goroutine gives it back
+				a.Reply.Release()
+			}
 
 		case <-timeout.C:
 			now := time.Now()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -242,6 +242,9 @@
 		if result.Rest != nil { // the load report is in the head
 			result.Rest.Close(false)
 		}
+		if result.Err == nil {
+			defer a.Reply.Release()
+		}
 		switch {
 		case result.Err == nil && a.Reply.Kind == protocol.ReplyServed:
 			event.Status, event.Load = decide.OK, a.Reply.Load
--- a/internal/transport/attempt.go
+++ b/internal/transport/attempt.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// drop lets go of a response that was read after the attempt had completed.
+func (a *Attempt) drop() {
+	if a.exchange.Dropped != nil {
+		a.exchange.Dropped()
+	}
+}
+
 // connectionLost completes an attempt whose connection failed. A write in progress may already have delivered the whole
 // message, so the message counts as sent unless its last byte was held back.
 func (a *Attempt) connectionLost(err error) {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -47,6 +47,22 @@
 	return n, err
 }
 
+// AwaitInput waits for input or the end of the connection, as long as Read would. It returns nil where it cannot wait without
+// reading.
+func (c *Client) AwaitInput() error {
+	if c.socket == nil {
+		return nil
+	}
+	c.prepareRead()
+	c.blockedInRead.Store(true)
+	err := c.socket.Await()
+	c.blockedInRead.Store(false)
+	if errors.Is(err, os.ErrDeadlineExceeded) && Unread(c.conn) {
+		return nil // Read decides whether it is too late
+	}
+	return err
+}
+
 // Send writes all buffers before the timeout or the end of the connection, whichever is earlier. It returns an error if not
 // all bytes could be written.
 func (c *Client) Send(buffers net.Buffers, timeout time.Duration) error {
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -42,6 +42,7 @@
 	Guard    Guard                                         // consulted when the connection is available; nil for none
 	Read     func(r *bufio.Reader) (reuse bool, err error) // reads one response, complete or up to the part announced by More
 	More     func() bool                                   // reports, after Read, whether the response continues; nil for never
+	Dropped  func()                                        // called if the response was read after the exchange had ended; nil for nothing
 	Written  *atomic.Int64                                 // incremented when the message has been written; nil for none
 	Tag      int                                           // chosen by the caller and copied to the Result
 	Done     chan Result                                   // receives the Result, needs room for it; nil: the attempt makes one
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -291,6 +291,22 @@
 	return wait
 }
 
+// EvictStalled ends up to n connections whose clients have stopped in the middle of a request.
+func (c *Client) EvictStalled(n int) {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reading := &l.byPhase[PhaseReading]
+	for e, scanned := reading.Front(), 0; e != nil && n > 0 && scanned < reading.Len(); scanned++ {
+		other := e.Value.(*Client)
+		e = e.Next()
+		if other != c && time.Since(other.inactiveSince()) >= l.gracePeriods[PhaseReading] && other.idle() {
+			l.evictClient(other)
+			n--
+		}
+	}
+}
+
 // evictClient ends a connection without a call and no longer counts it as open. Where a request may arrive, it only interrupts
 // the read: the serving goroutine alone knows whether it has just read one, and answers that first. The caller holds l.mu.
 func (l *Listener) evictClient(c *Client) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -47,9 +47,8 @@
 	return &Pool{network: network, budget: budget, connectTimeout: connectTimeout, idleTimeout: idleTimeout, idle: map[Peer][]*conn{}}
 }
 
-// readBufferSize is the size in bytes of the read buffer, and thus the maximum size of a worker's response head; longer
-// heads are malformed.
-const readBufferSize = 8 << 10
+// readBufferSize is the size in bytes of the read buffer that every connection has.
+const readBufferSize = 1 << 10
 
 // Start sends an exchange to a worker on an idle connection or, if there is none, on a new one.
 func (p *Pool) Start(peer Peer, exchange Exchange) *Attempt {
@@ -169,6 +168,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.state == completed {
+		a.drop()
 		return false
 	}
 	reusable := reuse && p.makeIdle(c)
@@ -186,6 +186,7 @@
 	a.mu.Lock()
 	if a.state == completed {
 		a.mu.Unlock()
+		a.drop()
 		return false
 	}
 	a.state = completed
