A process divides its memory limit among connections, messages and what it holds at rest

Callers saw a process killed for memory; what its buffers add up to was nobody's. The runtime's limit was three quarters of the platform's, and counted neither the pages of the program's file nor what was about to be read.

planMemory divides 80% of the limit (95% of one up to 38 MB): the resident pages of the program, read from the system at the start; what the runtime holds at rest; so many connections as the rest can bear; a budget for the messages of peers. Where the platform hands over the listening socket, a new version may run beside the old one under one limit, so each process plans with half. A limit below what serving takes is told at the start (memory_short, least_mb). Long messages may take three quarters of the connections: a crowd of slow readers had all connections to backends, and everybody else was refused. One more upload is refused (503), one more long response fails (502). Reasons of closes and refusals are logged at debug level.

--- a/cmd/burlpass/main.go
+++ b/cmd/burlpass/main.go
@@ -4,10 +4,12 @@
 
 import (
 	"os"
+	"runtime"
 
 	"burlpass/internal/cli"
 )
 
 func main() {
+	runtime.MemProfileRate = 0 // nobody reads the profile, whose table takes 1.4 MB
 	os.Exit(cli.Main(os.Args[1:], os.Getenv, nil, os.Stdout, os.Stderr))
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -41,7 +41,7 @@
 		"check":                                {ExitUsage, "", "accepts 1 arg"},
 		"check ../../docs/config.example.toml": {ExitOK, "no faults", ""},
 		"check " + bad:                         {ExitFailure, ":2:1: faults: unknown key", "faults"},
-		"completion bash":                                            {ExitOK, "complete", ""},
+		"completion bash":                      {ExitOK, "complete", ""},
 	} {
 		code, stdout, stderr := runCommand(strings.Fields(line)...)
 		if code != want.code || !strings.Contains(stdout, want.stdout) || !strings.Contains(stderr, want.stderr) {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -73,7 +73,7 @@
 	if s.traceDecisions {
 		s.trace(config)
 	}
-	config.Limits.Apply()
+	config.ApplyLimits()
 	sidecar, err := program.New(network, config, log)
 	if err != nil {
 		return Failure(err)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -24,6 +24,7 @@
 // SmallBody is the size in bytes up to which a body counts among the Heads.
 const SmallBody = 4 << 10
 
+// String returns the name of a kind as figures show it.
 func (k Kind) String() string {
 	return [kinds]string{"heads", "bodies", "responses", "transfers"}[k]
 }
--- a/internal/program/main_test.go
+++ b/internal/program/main_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	c.Limits.Apply()
+	c.ApplyLimits()
 	log, err := logging.New(os.Stderr, logging.Options{})
 	if err != nil {
 		return err
--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -5,11 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -19,6 +16,7 @@
 	"burlpass/internal/limits"
 	"burlpass/internal/maintenance"
 	"burlpass/internal/membership"
+	"burlpass/internal/memory"
 	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
 	"burlpass/internal/routing"
@@ -29,7 +27,6 @@
 const (
 	drainPeriod            = 700 * time.Millisecond // clients still connect and send for this long after the stop signal
 	earlyRefusalRetryAfter = time.Second            // for calls refused before the decision module sees them
-	memoryLimitFraction    = 0.75                   // of the memory limit, for the Go runtime; the rest is for memory that it does not count
 	idleTimeoutFraction    = 0.7                    // of the time after which workers close idle connections
 
 	maxDeadlineWait  = 3 * time.Second        // part of the longest deadline that the platform waits after drainPeriod
@@ -45,12 +42,6 @@
 	return drainPeriod + deadlineWait - min(exitMargin, deadlineWait/2)
 }
 
-// Apply sets GOMAXPROCS and the runtime's memory limit from the resources that the platform grants.
-func (l Limits) Apply() {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(l.MemoryMB) * (1 << 20)))
-}
-
 // Sidecar is a sidecar with open listeners; Run makes it serve.
 type Sidecar struct {
 	config        *Config
@@ -62,6 +53,8 @@
 	drained       atomic.Bool                    // by an operator's DRAIN
 	adminListener net.Listener                   // for operators; nil if not configured
 	member        membership.Member              // nil without a cluster
+	memory        *memory.Budget                 // of the peers' messages
+	maxTransfers  int                            // long messages under way at a time
 	reloads       int                            // that this process has followed; guarded by the mutex of sharedOrders once that is in use
 	gate          routing.Gate                   // enforces the cluster's rules; nil without rules
 	origins       *protocol.OriginConfig         // where calls carry the attributes that rules match
@@ -73,14 +66,19 @@
 
 // New opens the listeners, divides the sockets among clients and workers, and opens the cluster member, as configured.
 func New(network transport.Network, cfg *Config, logger *slog.Logger) (*Sidecar, error) {
-	clients, reserved, workers := transport.SplitDescriptors(cfg.Limits.Sockets, operatorSockets(cfg))
+	footprint := measureFootprint()
+	plan := cfg.planMemory(footprint)
+	clients, reserved, workers := plan.splitDescriptors(cfg)
 	listener, err := listenForClients(network, cfg, clients, reserved)
 	if err != nil {
 		return nil, err
 	}
 	logger.Info("start", "name", cfg.Name, "listen", listener.Addr().String(), "registry", cfg.Registry,
 		"inherited", cfg.Inherit, "workers", len(cfg.Known.Instances), "client_sockets", clients, "worker_sockets", workers,
-		"cores", cfg.Limits.Cores, "memory_mb", cfg.Limits.MemoryMB)
+		"cores", cfg.Limits.Cores, "memory_mb", cfg.Limits.MemoryMB, "peer_memory_kb", plan.peers>>10)
+	if least := cfg.leastMemoryMB(footprint); cfg.Limits.MemoryMB < least {
+		logger.Warn("memory_short", "memory_mb", cfg.Limits.MemoryMB, "least_mb", least)
+	}
 	var adminListener net.Listener
 	if cfg.Operator != "" {
 		if adminListener, err = network.Listen(cfg.Operator); err != nil {
@@ -103,6 +101,8 @@
 		listener:      listener,
 		adminListener: adminListener,
 		member:        joined,
+		memory:        plan.budget(),
+		maxTransfers:  max(int(transferShare*float64(min(clients, workers))), 1),
 		pool: transport.NewPool(network, transport.NewBudget(workers), cfg.Decide.ConnectTime,
 			time.Duration(idleTimeoutFraction*float64(cfg.Decide.IdleClose))),
 	}
@@ -184,7 +184,7 @@
 		Registry:   s.initialRegistry(),
 		Log:        s.log,
 		Trace:      cfg.Trace,
-		Workers:    &protocol.Workers{Pool: s.pool, Columns: cfg.Decide.Columns, Counters: stats},
+		Workers:    &protocol.Workers{Pool: s.pool, Columns: cfg.Decide.Columns, Counters: stats, Memory: s.memory},
 		Out:        startOrders.Disabled,
 		Gate:       s.gate,
 		Invariants: invariants,
@@ -282,6 +282,8 @@
 		Advice:          retryAfter,
 		OperatorDrained: &s.drained,
 		Counters:        stats,
+		Memory:          s.memory,
+		MaxTransfers:    s.maxTransfers,
 		OriginConfig:    s.origins,
 		Log:             s.log,
 		Invariants:      invariants,
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -12,29 +12,6 @@
 	"burlpass/internal/transport"
 )
 
-// Limits on reading the rest of a request that was answered before its end.
-const (
-	discardReadTimeout = time.Second
-	discardTimeout     = 30 * time.Second
-)
-
-// discardRequest reads and drops the rest of a request that was answered before its end. Closing the connection instead
-// would reset it, and the reset can overtake the response.
-func (c *client) discardRequest() {
-	if c.CloseWrite() != nil {
-		return
-	}
-	c.broken = true // the write side is closed already
-	end := time.Now().Add(discardTimeout)
-	for n := 0; n < MaxBody && time.Now().Before(end) && c.Closing.Err() == nil; {
-		c.SetReadBounds(transport.ReadBounds{Until: time.Now().Add(discardReadTimeout), NoRequest: true})
-		m, err := c.discard()
-		if n += m; err != nil {
-			return
-		}
-	}
-}
-
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
@@ -56,8 +33,10 @@
 		f = &httpError{408, "call not whole in time"}
 	default: // the client closed or reset the connection
 		c.closing, c.broken = true, true
+		c.closeReason = closedByClient
 		return
 	}
+	c.closeReason = closedRejected
 	if suppressed, ok := c.rejectionLog.allow(time.Now()); ok {
 		c.Log.Warn("call_rejected", "status", f.status, "reason", f.text, "stage", c.readStage, "id", string(c.head.get(headerTrace)),
 			"since_last_byte", time.Since(c.LastByte()).Round(time.Millisecond), "age", time.Since(c.ConnectedAt()).Round(time.Millisecond), "more", suppressed)
@@ -70,40 +49,6 @@
 	c.writeResponse(f.status, nil, extra, []byte(f.text+"\n"))
 }
 
-// Limits on reading from a client after the write side of its connection has been closed.
-const (
-	lingerTimeout      = 500 * time.Millisecond
-	shortLingerTimeout = 50 * time.Millisecond // used when another connection needs the descriptor
-	maxLingerBytes     = 256 << 10
-)
-
-// closeGracefully closes the write side, so that the client sees the end of the stream after all responses, and then reads
-// and drops input for a while until the client has closed too. Closing with unread input would reset the connection, and
-// the reset can overtake a response. Meanwhile the connection may be closed to make room for another one.
-func (c *client) closeGracefully() {
-	if c.Closing.Err() != nil { // the process exits: a client that sends on a half-closed connection has nobody left to retry with
-		return
-	}
-	if c.broken || c.Evicted() {
-		return
-	}
-	c.Enter(transport.PhaseLingering)
-	if c.CloseWrite() != nil {
-		return
-	}
-	wait := lingerTimeout
-	if c.DescriptorNeeded() {
-		wait = shortLingerTimeout
-	}
-	c.SetReadBounds(transport.ReadBounds{Until: time.Now().Add(wait), NoRequest: true})
-	for n := 0; n < maxLingerBytes; {
-		m, err := c.discard()
-		if n += m; err != nil {
-			return
-		}
-	}
-}
-
 func (c *client) answerHealthCheck() {
 	c.closing = c.closing || c.NearLimit()
 	if c.Handler.Healthy() && !c.isDraining() {
--- a/internal/protocol/handle.go
+++ b/internal/protocol/handle.go
@@ -14,7 +14,8 @@
 }
 
 // refuse answers a call without passing it to the handler. No part of it has been sent to a worker.
-func (c *client) refuse(call *Call) {
+func (c *client) refuse(call *Call, reason refusalReason) {
+	c.logRefusal(call, reason)
 	c.Counters.answered(call.Class, Refused)
 	if c.upload != nil {
 		c.closing = true
@@ -39,6 +40,7 @@
 	answer := c.Handler.Serve(call)
 	defer answer.Reply.Release()
 	c.checkAnswered(watcher)
+	answer = c.limitTransfers(answer)
 	c.Counters.answered(call.Class, answer.Verdict) // before it is written: a client that has the answer finds it counted
 	if c.upload != nil {
 		c.answerUpload(watcher, answer)
@@ -73,3 +75,35 @@
 		c.discardRequest()
 	}
 }
+
+// beginTransfer counts the connection among those with a long message under way. It reports whether there was room.
+func (c *client) beginTransfer() bool {
+	if c.MaxTransfers == 0 || c.transferring {
+		return true
+	}
+	if c.transfers.Add(1) > int64(c.MaxTransfers) {
+		c.transfers.Add(-1)
+		return false
+	}
+	c.transferring = true
+	return true
+}
+
+func (c *client) endTransfer() {
+	if c.transferring {
+		c.transferring = false
+		c.transfers.Add(-1)
+	}
+}
+
+// limitTransfers replaces the answer to a call whose response has only begun and for whose rest there is no room. The worker has
+// run the call, so that it has failed.
+func (c *client) limitTransfers(answer Answer) Answer {
+	if answer.Verdict != Served || answer.Reply.Rest == nil || c.beginTransfer() {
+		return answer
+	}
+	answer.Reply.Rest.Close(false)
+	answer.Reply.Release()
+	answer.Verdict, answer.Reply = Failed, nil
+	return answer
+}
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -60,10 +60,13 @@
 	OriginConfig    *OriginConfig   // where calls carry what rules match on; nil if no rules are in use
 	Log             *slog.Logger
 
+	MaxTransfers int // long messages under way at a time, so that they leave connections for others; 0 for no limit
+
 	Invariants *invariant.Monitor // counts violations of invariants; may be nil
 
 	rejectionLog logLimiter
 	overloadLog  logLimiter
+	transfers    atomic.Int64 // long messages under way
 	requestIDs   recentIDs
 	overload     overloadDetector
 }
@@ -87,6 +90,8 @@
 	lastAnswered time.Time // when the previous request was answered
 	closing      bool      // no further call on this connection
 	broken       bool      // nothing more is sent to the client, or it must notice that a response is incomplete
+	transferring bool      // the connection counts among those with a long message under way
+	closeReason  closeReason
 }
 
 // httpError is an error response that does not involve the handler.
@@ -100,13 +105,14 @@
 // Serve reads and answers calls one after another until the connection is to end, and then closes it gracefully. The
 // listener closes the connection when Serve returns.
 func (s *Server) Serve(conn *transport.Client) {
-	c := &client{Server: s, Client: conn, source: clientSource{conn: conn}}
+	c := &client{Server: s, Client: conn, source: clientSource{conn: conn}, closeReason: closedAfterAnswer}
 	c.smallReader = bufio.NewReaderSize(&c.source, connectionBuffer)
 	c.r = c.smallReader
 	stop := context.AfterFunc(s.Closing, conn.EndIdleWaits)
 	defer stop()
 	defer c.aheadGrant.Release()
 	c.serveCalls()
+	c.logClose()
 	c.releaseRequest()
 	c.closeGracefully()
 }
@@ -128,18 +134,22 @@
 			c.answerHealthCheck()
 		case c.OverLimit:
 			c.closing = true
-			c.refuse(call)
+			c.refuse(call, refusedOverLimit)
 		case server.overload.refusing.Load() && !c.newDisconnectWatcher().isConnected(): // the client no longer waits for the answer
+			c.closeReason = closedUnwanted
 			return
 		case server.overload.shouldRefuse(call.Class, server.Worth) || call.Budget <= 0 && c.wasDelayed():
 			server.logOverload()
-			c.refuse(call)
+			c.refuse(call, refusedOverload)
+		case c.upload != nil && !c.beginTransfer():
+			c.refuse(call, refusedTransfers)
 		case !server.requestIDs.tryAdd(c.head.get(headerTrace), c.started, server.MaxDeadline):
 			c.reject(&httpError{409, "the id of another call"})
 		default:
 			c.handle(call)
 			server.requestIDs.finish(c.head.get(headerTrace), time.Now(), server.MaxDeadline)
 		}
+		c.endTransfer()
 		c.releaseRequest()
 	}
 }
@@ -162,6 +172,7 @@
 		c.EndIdleWaits()
 	}
 	if _, err := c.r.Peek(1); err != nil {
+		c.closeReason = c.idleReason(err)
 		return false
 	}
 	c.Enter(transport.PhaseReading)
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -174,7 +174,7 @@
 				}
 			}
 			r.dispatch(active.outcomeEvent(a, status, final != nil || clientLeft == nil)) // the balancer decides what comes next
-			if a.complete && !a.chosen { // of an aborted attempt, the connection's goroutine gives it back
+			if a.complete && !a.chosen {                                                  // of an aborted attempt, the connection's goroutine gives it back
 				a.Reply.Release()
 			}
 
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -36,7 +36,9 @@
 	reservedAccept    = 2 // the client listener and a connection that it has just accepted
 	reservedDiscovery = 6 // calls to the registry, some of them concurrent
 	reservedFiles     = 8 // the configuration during a reload, state saved for the next process, files opened by the runtime
-	reserved          = reservedRuntime + reservedAccept + reservedDiscovery + reservedFiles
+
+	// ReservedDescriptors is the sum of these.
+	ReservedDescriptors = reservedRuntime + reservedAccept + reservedDiscovery + reservedFiles
 
 	minShared = 16 // for clients and workers together, however low the process's limit
 )
@@ -46,7 +48,7 @@
 // clients' share is slightly larger because of connections without a call. A tenth of it is spare: for connections that are
 // only asked to retry later.
 func SplitDescriptors(sockets, operators int) (clients, spare, workers int) {
-	n := max(sockets-reserved-operators, minShared)
+	n := max(sockets-ReservedDescriptors-operators, minShared)
 	clients = n * 11 / 20
 	spare = max(clients/10, 1)
 	return clients - spare, spare, n - clients
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -18,7 +18,7 @@
 	for _, sockets := range []int{128, 512, 1024, 4096} {
 		for _, operators := range []int{0, 34} {
 			clients, spare, workers := SplitDescriptors(sockets, operators)
-			if free := sockets - clients - spare - workers; free != reserved+operators {
+			if free := sockets - clients - spare - workers; free != ReservedDescriptors+operators {
 				t.Errorf("of %d descriptors %d are reserved, including %d for operators", sockets, free, operators)
 			}
 			if spare < 1 || clients < workers/2 || workers < clients/2 {
