A long request to a slow worker is answered by the time of its client's last byte

A long request's time ran from the last moment at which its end had certainly not arrived, taken from the bytes that wait unread. Behind a slow worker the receive window is used up, and the client's last bytes wait in its own system: at each piece the sidecar saw less than the body still lacks and moved the client's time on.

Now a backlog counts only up to 24 KiB, below which a client's system is free to send, and only once it had 20 ms to do so; a read that had to wait for the client moves the time to its end.

TestUploadDeadlineWhileBytesWait asked that 48 KiB which wait unread move the time on. That state cannot be told from one in which the client has sent all; the test asks it of 20 KiB now, after the time to settle, and in a new row that 48 KiB do not.

--- a/internal/lab/crowd/ordinary.go
+++ b/internal/lab/crowd/ordinary.go
@@ -83,39 +83,49 @@
 	}
 }
 
-// request sends one request and reads its answer. Where the sidecar closes a kept connection as the request is sent, the
-// request goes out once more on a new one.
+// request sends one request and reads its answer. Where the connection ends without an answer, the close has crossed the request,
+// which goes out once more on a new connection with the same ID: a sidecar that has read the first refuses the second (409).
 func (o *ordinary) request() (status int, err error) {
-	for {
-		reused := o.conn != nil
-		if !reused {
-			if o.conn, err = net.DialTimeout("tcp", o.addr, dialTimeout); err != nil {
-				o.conn = nil
-				return http.StatusServiceUnavailable, nil // nothing was sent
-			}
-			o.r = bufio.NewReader(o.conn)
-		}
-		start := time.Now()
-		status, closes, err := o.exchange()
-		if closes || err != nil {
-			o.disconnect()
-		}
-		if err != nil && reused && errors.Is(err, errUnanswered) {
-			continue
-		}
-		if err != nil {
-			err = fmt.Errorf("after %v, reused %v: %w", time.Since(start).Round(time.Millisecond), reused, err)
+	text := requestHead("GET", "availability/x", ordinaryDeadline) + "\r\n"
+	if status, err = o.send(text); errors.Is(err, errUnanswered) {
+		status, err = o.send(text)
+	}
+	if status == http.StatusConflict {
+		err = errReadAndClosed
+	}
+	return status, err
+}
+
+// send sends a request on the kept connection, or on a new one.
+func (o *ordinary) send(text string) (status int, err error) {
+	reused := o.conn != nil
+	if !reused {
+		if o.conn, err = net.DialTimeout("tcp", o.addr, dialTimeout); err != nil {
+			o.conn = nil
+			return http.StatusServiceUnavailable, nil // nothing was sent
 		}
-		return status, err
+		o.r = bufio.NewReader(o.conn)
+	}
+	start, local := time.Now(), o.conn.LocalAddr()
+	status, closes, err := o.exchange(text)
+	if closes || err != nil {
+		o.disconnect()
 	}
+	if err != nil {
+		err = fmt.Errorf("from %v, after %v, reused %v: %w", local, time.Since(start).Round(time.Millisecond), reused, err)
+	}
+	return status, err
 }
 
+// errReadAndClosed means that a request was read and its connection closed without an answer.
+var errReadAndClosed = errors.New("the request was read, and its connection closed with no answer")
+
 // errUnanswered means that the connection ended without a byte of an answer.
 var errUnanswered = errors.New("closed with no answer")
 
-func (o *ordinary) exchange() (status int, closes bool, err error) {
+func (o *ordinary) exchange(text string) (status int, closes bool, err error) {
 	o.conn.SetDeadline(time.Now().Add(ordinaryDeadline + lateAnswer))
-	if _, err := io.WriteString(o.conn, requestHead("GET", "availability/x", ordinaryDeadline)+"\r\n"); err != nil {
+	if _, err := io.WriteString(o.conn, text); err != nil {
 		return 0, true, errors.Join(errUnanswered, err)
 	}
 	if _, err := o.r.Peek(1); err != nil {
--- a/internal/program/stalled_client_test.go
+++ b/internal/program/stalled_client_test.go
@@ -218,19 +218,22 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { conn.Close() })
-			go serve(conn)
-		}
-	}()
+	go serveConnections(t, ln, serve)
 	return ln.Addr().String()
 }
 
+// serveConnections accepts connections until the listener is closed, passes each to serve, and closes them when the test ends.
+func serveConnections(t *testing.T, ln net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { conn.Close() })
+		go serve(conn)
+	}
+}
+
 // partialResponseWorker sends n bytes of a long response and stops.
 func partialResponseWorker(t *testing.T, n int) string {
 	ended := make(chan struct{})
--- a/internal/protocol/closing.go
+++ b/internal/protocol/closing.go
@@ -40,7 +40,8 @@
 	if !c.Log.Enabled(ctx, slog.LevelDebug) {
 		return
 	}
-	c.Log.LogAttrs(ctx, slog.LevelDebug, "connection_closed", slog.String("reason", string(c.closeReason)), slog.String("last_id", string(c.head.get(headerTrace))),
+	c.Log.LogAttrs(ctx, slog.LevelDebug, "connection_closed", slog.String("reason", string(c.closeReason)),
+		slog.String("client", c.RemoteAddr().String()), slog.String("last_id", string(c.head.get(headerTrace))),
 		slog.Bool("over_limit", c.OverLimit), slog.Bool("broken", c.broken), slog.Duration("age", time.Since(c.ConnectedAt())))
 }
 
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -37,6 +37,7 @@
 	expires  time.Duration // how long the client waits after its last byte
 	waited   time.Duration // time spent waiting for the client since the body began; delays caused by a slow worker are not the client's
 	received int64         // bytes of the body so far
+	lastRead time.Time     // when the last read ended
 	memory   *memory.Budget
 
 	mu           sync.Mutex
@@ -121,29 +122,49 @@
 		return 0, net.ErrClosed
 	}
 	begun := time.Now()
-	if u.isIncomplete() {
+	drained := u.body.r.Buffered() == 0 && u.conn.Quiet()
+	if u.isIncomplete(drained) {
 		u.incompleteAt = begun
 	}
 	u.conn.SetReadBounds(transport.ReadBounds{StallTimeout: stallTimeout, Until: begun.Add(bodyTimeout(u.received+int64(len(buf))) - u.waited), RequestAccepted: true})
 	u.mu.Unlock()
 	n, err := u.body.Read(buf)
+	u.lastRead = time.Now()
 	u.received += int64(n)
-	u.waited += time.Since(begun)
+	wait := u.lastRead.Sub(begun)
+	u.waited += wait
+	if drained && wait >= settleTime { // the client sent these bytes only now
+		u.mu.Lock()
+		u.incompleteAt = u.lastRead
+		u.mu.Unlock()
+	}
 	if n > 0 {
 		err = nil // the error is returned again by the next read
 	}
 	return n, err
 }
 
-// isIncomplete reports whether the last byte has certainly not arrived: nothing waits unread, or less than the body, or its
-// current chunk, still lacks. A worker that takes the message slowly leaves bytes unread that the client sent long ago.
-func (u *upload) isIncomplete() bool {
-	buffered := u.body.r.Buffered()
-	if buffered == 0 && u.conn.Quiet() {
+const (
+	// maxBacklog is the number of unread bytes up to which a client's system is free to send. A receiver that has used up its
+	// window opens it again once half of it is free, and the smallest window is 64 KiB.
+	maxBacklog = 24 << 10
+
+	// settleTime is how long a client's system may take to send once it is free to.
+	settleTime = 20 * time.Millisecond
+)
+
+// isIncomplete reports whether the client has certainly not sent the last byte: all that has arrived was read (drained), or less
+// waits unread than the body, or its current chunk, still lacks, although the client's system could have sent more. Behind a
+// larger backlog, which a worker that takes the message slowly leaves, the last bytes may wait in the client's own system.
+func (u *upload) isIncomplete(drained bool) bool {
+	if time.Since(u.lastRead) < settleTime {
+		return false
+	}
+	if drained {
 		return true
 	}
 	unread, known := u.conn.UnreadBytes()
-	return known && int64(buffered+unread) < u.body.remaining
+	return known && unread <= maxBacklog && int64(u.body.r.Buffered()+unread) < u.body.remaining
 }
 
 // awaitComplete waits for the end of the message. It returns true once the end has arrived and been forwarded and the
--- a/internal/protocol/upload_test.go
+++ b/internal/protocol/upload_test.go
@@ -10,16 +10,18 @@
 // Guards against the time of a client running out while it still sends, since bytes that wait for a slow worker are taken for
 // the end of its message; and against that end staying hidden behind such a worker.
 func TestUploadDeadlineWhileBytesWait(t *testing.T) {
-	const waiting = 0xc000 // bytes that have arrived unread: more than the reader holds, less than a new connection's window
+	const waiting = 0x5000 // bytes that have arrived unread: more than the reader holds, less than half of a new connection's window
+	const backlog = 0xc000 // bytes behind which the client's system may hold more
 	for name, test := range map[string]struct {
 		head  head
 		sent  string
 		moves bool
 	}{
-		"more to come":             {head{length: waiting + 1}, strings.Repeat("x", waiting), true},
-		"the last byte arrived":    {head{length: waiting}, strings.Repeat("x", waiting), false},
-		"more to come of a chunk":  {head{chunked: true, length: -1}, "c001\r\n" + strings.Repeat("x", waiting), true},
-		"the last chunk may be in": {head{chunked: true, length: -1}, "c000\r\n" + strings.Repeat("x", waiting) + "\r\n0\r\n\r\n", false},
+		"more may wait at the client": {head{length: backlog + 1}, strings.Repeat("x", backlog), false},
+		"more to come":                {head{length: waiting + 1}, strings.Repeat("x", waiting), true},
+		"the last byte arrived":       {head{length: waiting}, strings.Repeat("x", waiting), false},
+		"more to come of a chunk":     {head{chunked: true, length: -1}, "5001\r\n" + strings.Repeat("x", waiting), true},
+		"the last chunk may be in":    {head{chunked: true, length: -1}, "5000\r\n" + strings.Repeat("x", waiting) + "\r\n0\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			server, client := newClientPair(t)
@@ -28,9 +30,10 @@
 			if _, err := u.read(make([]byte, 1)); err != nil {
 				t.Fatal(err)
 			}
-			for unread := 0; unread+server.r.Buffered() < len(test.sent)-len("c000\r\n")-1; { // until the rest has arrived
+			for unread := 0; unread+server.r.Buffered() < len(test.sent)-len("5000\r\n")-1; { // until the rest has arrived
 				unread, _ = server.UnreadBytes()
 			}
+			time.Sleep(settleTime)
 			before := u.Deadline()
 			if _, err := u.read(make([]byte, 1)); err != nil {
 				t.Fatal(err)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -26,6 +26,9 @@
 // ConnectedAt returns the earliest time at which the client may have connected.
 func (c *Client) ConnectedAt() time.Time { return c.connectedAt }
 
+// RemoteAddr returns the client's address.
+func (c *Client) RemoteAddr() net.Addr { return c.conn.RemoteAddr() }
+
 // maxLateReads limits the extra reads for bytes that arrived before a deadline passed.
 const maxLateReads = 3
 
