A client that has closed behind much unread input gets no attempt

Up to 56 KiB that do not fit the buffer stay unread, less than a window; more is discarded as before. So up to 56 KiB more may be sent ahead of a response without loss.

--- a/internal/protocol/disconnect_test.go
+++ b/internal/protocol/disconnect_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"burlpass/internal/memory"
 	"burlpass/internal/transport"
 )
 
@@ -111,3 +113,30 @@
 		}
 	}
 }
+
+// Guards against an attempt for a client that has closed its connection behind more than one check used to read.
+func TestDisconnectSeenBehindMuchUnread(t *testing.T) {
+	for name, budget := range map[string]*memory.Budget{"with memory": nil, "without memory": memory.NewBudget(1)} {
+		for _, unread := range []int{40 << 10, 300 << 10, 3 << 20} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, unread), func(t *testing.T) {
+				c, peer := newClientPair(t)
+				c.Server = &Server{Memory: budget}
+				watcher := c.newDisconnectWatcher()
+				closed := make(chan struct{})
+				go func() {
+					defer close(closed)
+					io.WriteString(peer, strings.Repeat("x", unread))
+					peer.Close()
+				}()
+				select {
+				case <-closed:
+				case <-time.After(time.Second): // the rest is taken by the check, and the end comes with it
+				}
+				if watcher.isConnected() && watcher.isConnected() {
+					t.Error("reported as connected")
+				}
+				<-closed
+			})
+		}
+	}
+}
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -16,12 +16,14 @@
 	maxDiscard        = MaxBody  // bytes discarded beyond that; a client that sends even more is given up
 	discardBufferSize = 16 << 10 // bytes discarded per read
 
+	maxUnreadAhead = 56 << 10 // bytes left unread where they cannot be buffered: less than a receive window, so that an end behind them is seen
+
 	maxCheckTime    = 20 * time.Millisecond // bounds one check, so that a client that never stops sending delays nobody
 	aheadRetryDelay = 50 * time.Millisecond // between two checks of a client whose bytes cannot be read; a disconnect may go unnoticed for twice that
 )
 
-// errNoRoomAhead means that there is no memory for what a client has sent ahead, which stays unread for now.
-var errNoRoomAhead = errors.New("no memory for requests sent ahead")
+// errNoRoomAhead means that there is no room for what a client has sent ahead, which stays unread for now.
+var errNoRoomAhead = errors.New("no room for requests sent ahead")
 
 // errTooMuchSentAhead means that a client has sent more than maxDiscard bytes beyond what is buffered for further requests.
 var errTooMuchSentAhead = errors.New("client sent too much data ahead of a response")
@@ -81,11 +83,10 @@
 }
 
 // disconnectWatcher detects that a client disconnects while a request of its is open. The end of the stream of a client
-// that has sent more data lies behind that data, so the data is read ahead: first into the connection's buffer, then into
-// one of maxReadAhead bytes. Anything beyond that is read and discarded, and the connection ends after the requests that
-// are buffered. This requires only reads from the socket layer. The kernel is asked for the connection's state only while
-// the request's own message is unread: it does not report an end behind more bytes than its receive buffer holds, and not
-// every socket layer answers the question.
+// that has sent more data lies behind that data, so the data is read ahead: first into the connection's buffer, then, as memory
+// allows, into one of up to maxReadAhead bytes. Up to maxUnreadAhead further bytes stay unread, and the kernel is asked for the end
+// behind them. It does not see an end behind more bytes than its receive buffer holds: those are read and discarded, and the
+// connection ends after the requests that are buffered.
 type disconnectWatcher struct {
 	client       *client
 	disconnected chan struct{} // closed once the client has disconnected
@@ -96,7 +97,7 @@
 	mayReadAhead bool       // the request's message has been read completely, so what follows may be read ahead
 	answered     bool       // the request has been answered: the buffer belongs to the connection's own goroutine again
 	gone         bool       // disconnected is closed
-	noRoom       bool       // bytes were left unread for want of memory
+	noRoom       bool       // bytes were left unread for want of room
 	discarded    int64      // bytes
 }
 
@@ -230,14 +231,15 @@
 		}
 		return err
 	}
-	_, err := c.r.Peek(c.r.Buffered() + 1)
-	switch {
-	case !errors.Is(err, bufio.ErrBufferFull):
+	if _, err := c.r.Peek(c.r.Buffered() + 1); !errors.Is(err, bufio.ErrBufferFull) {
 		return err
-	case c.r.Size() >= maxReadAhead:
-		c.source.truncated = true
-	case !c.growBuffer():
+	}
+	if c.r.Size() < maxReadAhead && c.growBuffer() {
+		return nil
+	}
+	if unread, known := c.UnreadBytes(); known && unread < maxUnreadAhead {
 		return errNoRoomAhead
 	}
+	c.source.truncated = true
 	return nil
 }
