A request whose ID comes again at the other process of an upgrade runs once

Of two processes that add an ID at the same moment one at most succeeds. Where the table cannot be opened the log says so (shared_ids_failed) and each process remembers its own. Only with an inherited socket and $TMPDIR; elsewhere nothing changes.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +21,7 @@
 	"burlpass/internal/operator"
 	"burlpass/internal/protocol"
 	"burlpass/internal/routing"
+	"burlpass/internal/sharedids"
 	"burlpass/internal/transport"
 	"burlpass/internal/usage"
 )
@@ -284,12 +286,27 @@
 		Counters:        stats,
 		Memory:          s.memory,
 		MaxTransfers:    s.maxTransfers,
+		SharedIDs:       s.openSharedIDs(longestDeadline),
 		OriginConfig:    s.origins,
 		Log:             s.log,
 		Invariants:      invariants,
 	}
 }
 
+// openSharedIDs opens the request IDs that the processes of an upgrade share. Without them each process remembers its own.
+func (s *Sidecar) openSharedIDs(longestDeadline time.Duration) *sharedids.Table {
+	if !s.config.Inherit || s.config.StateDir == "" {
+		return nil
+	}
+	path := filepath.Join(s.config.StateDir, "burlpass-"+s.config.Name+".ids")
+	table, err := sharedids.Open(path, protocol.MaxIDLifetime(longestDeadline))
+	if err != nil {
+		s.log.Warn("shared_ids_failed", "path", path, "err", err)
+		return nil
+	}
+	return table
+}
+
 // handleSignals calls reload on each SIGHUP until ctx is done, and returns a channel that gets the first other signal.
 func handleSignals(ctx context.Context, signals <-chan os.Signal, reload func()) <-chan os.Signal {
 	stopSignal := make(chan os.Signal, 1)
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -13,6 +13,7 @@
 
 	"burlpass/internal/invariant"
 	"burlpass/internal/memory"
+	"burlpass/internal/sharedids"
 	"burlpass/internal/transport"
 )
 
@@ -62,6 +63,9 @@
 
 	MaxTransfers int // long messages under way at a time, so that they leave connections for others; 0 for no limit
 
+	// SharedIDs remembers the IDs of requests for the sidecar's other processes as well; nil if there are none.
+	SharedIDs *sharedids.Table
+
 	Invariants *invariant.Monitor // counts violations of invariants; may be nil
 
 	rejectionLog logLimiter
@@ -143,11 +147,11 @@
 			c.refuse(call, refusedOverload)
 		case c.upload != nil && !c.beginTransfer():
 			c.refuse(call, refusedTransfers)
-		case !server.requestIDs.tryAdd(c.head.get(headerTrace), c.started, server.MaxDeadline):
+		case !server.addID(c.head.get(headerTrace), c.started):
 			c.reject(&httpError{409, "the id of another call"})
 		default:
 			c.handle(call)
-			server.requestIDs.finish(c.head.get(headerTrace), time.Now(), server.MaxDeadline)
+			server.finishID(c.head.get(headerTrace))
 		}
 		c.endTransfer()
 		c.releaseRequest()
--- a/internal/protocol/traces.go
+++ b/internal/protocol/traces.go
@@ -27,6 +27,34 @@
 	maxIDsPerPeriod = 1 << 16
 )
 
+// idRetention returns how long the ID of an answered request is remembered.
+func idRetention(maxDeadline time.Duration) time.Duration { return max(maxDeadline, minIDRetention) }
+
+// MaxIDLifetime returns the longest time for which an ID is remembered, where no deadline exceeds maxDeadline.
+func MaxIDLifetime(maxDeadline time.Duration) time.Duration {
+	return maxDeadline + idRetention(maxDeadline)
+}
+
+// addID reports whether no process of the sidecar has remembered an ID, and remembers it.
+func (s *Server) addID(id []byte, now time.Time) bool {
+	if !s.requestIDs.tryAdd(id, now, s.MaxDeadline) {
+		return false
+	}
+	if s.SharedIDs != nil && !s.SharedIDs.TryAdd(id, MaxIDLifetime(s.MaxDeadline)) {
+		s.requestIDs.finish(id, now, s.MaxDeadline)
+		return false
+	}
+	return true
+}
+
+// finishID records that the request with an added ID has been answered.
+func (s *Server) finishID(id []byte) {
+	s.requestIDs.finish(id, time.Now(), s.MaxDeadline)
+	if s.SharedIDs != nil {
+		s.SharedIDs.Extend(id, idRetention(s.MaxDeadline))
+	}
+}
+
 // tryAdd reports whether an ID is new, and remembers it until finish. maxDeadline is the longest configured deadline.
 func (t *recentIDs) tryAdd(id []byte, now time.Time, maxDeadline time.Duration) bool {
 	t.mu.Lock()
@@ -35,7 +63,7 @@
 		t.seed = maphash.MakeSeed()
 		t.open = map[uint64]struct{}{}
 	}
-	t.rotate(now, max(maxDeadline, minIDRetention))
+	t.rotate(now, idRetention(maxDeadline))
 	hash := maphash.Bytes(t.seed, id)
 	_, open := t.open[hash]
 	_, recent := t.current[hash]
@@ -54,7 +82,7 @@
 	defer t.mu.Unlock()
 	hash := maphash.Bytes(t.seed, id)
 	delete(t.open, hash)
-	t.rotate(now, max(maxDeadline, minIDRetention))
+	t.rotate(now, idRetention(maxDeadline))
 	t.current[hash] = struct{}{}
 }
 
