A client that still sends more than its system can hold keeps its time

More than 4 MiB missing beyond what waits unread is more than a client's system holds, so the last byte has not been sent; the time moves on as before. The package passes, and so does TestAnswerInTimeDespiteSlowReadingWorker.

--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -149,22 +149,29 @@
 	// window opens it again once half of it is free, and the smallest window is 64 KiB.
 	maxBacklog = 24 << 10
 
+	// maxSendBuffer is the number of bytes that a client's system holds for it, by the default of Linux (tcp_wmem).
+	maxSendBuffer = 4 << 20
+
 	// settleTime is how long a client's system may take to send once it is free to.
 	settleTime = 20 * time.Millisecond
 )
 
 // isIncomplete reports whether the client has certainly not sent the last byte: all that has arrived was read (drained), or less
 // waits unread than the body, or its current chunk, still lacks, although the client's system could have sent more. Behind a
-// larger backlog, which a worker that takes the message slowly leaves, the last bytes may wait in the client's own system.
+// larger backlog, which a worker that takes the message slowly leaves, the last bytes may wait in the client's own system, unless
+// more is missing than that can hold.
 func (u *upload) isIncomplete(drained bool) bool {
-	if time.Since(u.lastRead) < settleTime {
+	unread, known := u.conn.UnreadBytes()
+	missing := u.body.remaining - int64(u.body.r.Buffered()+unread)
+	switch {
+	case known && missing > maxSendBuffer:
+		return true
+	case time.Since(u.lastRead) < settleTime:
 		return false
-	}
-	if drained {
+	case drained:
 		return true
 	}
-	unread, known := u.conn.UnreadBytes()
-	return known && unread <= maxBacklog && int64(u.body.r.Buffered()+unread) < u.body.remaining
+	return known && unread <= maxBacklog && missing > 0
 }
 
 // awaitComplete waits for the end of the message. It returns true once the end has arrived and been forwarded and the
