Of several workers listed at one address, those with the latest start are chosen

Each list and each order of an operator recomputes the workers' states: a worker whose address has another one with a later known start counts as draining. Workers with the same start, or none, are left as they are. A worker that is listed and a worker that is disabled by hand go through the same function now.

--- a/internal/routing/maintenance.go
+++ b/internal/routing/maintenance.go
@@ -3,12 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 
 	"burlpass/decide"
 	"burlpass/internal/maintenance"
-	"burlpass/internal/transport"
 )
 
 // maxSeenWorkers bounds the IDs of workers remembered as once listed, so that memory does not grow where workers are
@@ -46,21 +44,7 @@
 	r.mu.Lock()
 	r.Out = set.Clone()
 	r.rememberWorkers(set.WorkerIDs())
-	var stalePeers []transport.Peer
-	var changed []decide.Server
-	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
-		w := r.workers[id]
-		state := r.Out.State(w.instanceID, w.zone, w.listed.State)
-		if state == w.state {
-			continue
-		}
-		if w.state = state; state != decide.Ready {
-			stalePeers = append(stalePeers, w.peer)
-		}
-		effective := w.listed
-		effective.State = state
-		changed = append(changed, effective)
-	}
+	changed, stalePeers := r.updateStates(nil)
 	var actions []decide.Action
 	if len(changed) > 0 {
 		r.countUpWorkers()
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -211,6 +211,8 @@
 			}
 		}
 	}
+	servers, superseded := r.updateStates(servers)
+	stalePeers = append(stalePeers, superseded...)
 	r.countUpWorkers()
 	actions := r.handle(decide.Event{Kind: decide.Members, List: kind, Servers: servers, Version: list.Generation})
 	up := r.upWorkers
@@ -248,8 +250,7 @@
 		ID: id, Started: r.startTime(instance, hadList), Cell: instance.Cell, State: state,
 		Zone: r.zoneNumber(instance.Zone, id), Kind: indexOrLen(r.Names.Kinds, instance.Kind), Nominal: instance.Weight,
 	}
-	state = r.Out.State(instance.ID, instance.Zone, state)
-	w := &worker{id: id, instanceID: instance.ID, zone: instance.Zone, peer: transport.Peer{Addr: instance.Addr}, state: state,
+	w := &worker{id: id, instanceID: instance.ID, zone: instance.Zone, peer: transport.Peer{Addr: instance.Addr},
 		startedMs: instance.StartedMs,
 		listed:    listed}
 	if previous := r.workers[id]; previous != nil && previous.peer.Addr == instance.Addr && previous.startedMs == instance.StartedMs {
@@ -258,9 +259,11 @@
 		r.lastLife++
 		w.peer.Incarnation = r.lastLife
 	}
-	effective := listed
-	effective.State = state
-	return w, effective
+	if previous := r.workers[id]; previous != nil {
+		w.superseded = previous.superseded
+	}
+	w.state = r.effectiveState(w)
+	return w, w.effective()
 }
 
 // removeWorker removes a worker that is no longer listed. If its instance comes back, it gets a new ID: a table of all
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -52,6 +52,7 @@
 	zone       string
 	peer       transport.Peer
 	state      decide.State
+	superseded bool // a later process has its address
 	startedMs  int64
 	listed     decide.Server // as described by the registry, without the operators' changes
 }
