--- a/internal/program/admin.go
+++ b/internal/program/admin.go
@@ -35,6 +35,7 @@
 	report.Inflight = h.router.OpenCalls()
 	report.HostsListed, report.HostsDown = h.router.WorkerCounts()
 	report.ListAgeMs = h.router.ListAge().Milliseconds()
+	report.Memory = h.s.memory.Report()
 	return report.JSON()
 }
 
--- a/internal/protocol/figures.go
+++ b/internal/protocol/figures.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"sync/atomic"
+
+	"burlpass/internal/memory"
 )
 
 // Counters counts answers by class as the server writes them, and attempts once they are completely written to workers.
@@ -42,6 +44,7 @@
 	HostsListed  int              `json:"hosts_listed"`
 	HostsDown    int              `json:"hosts_down"`
 	ListAgeMs    int64            `json:"list_age_ms"` // since the registry's last response
+	Memory       memory.Report    `json:"memory"`
 }
 
 // FillStats fills in the counters of a report, keyed by class name.
