A response's head takes no more memory than before; the page of the memory setting

The buffers of the memory budget began at 1 KiB for every head, also of a response, whose head is dropped with it: 7.6 KB a call in place of 6.5. They begin at 256 bytes now.

--- a/internal/program/config_toml.go
+++ b/internal/program/config_toml.go
@@ -42,7 +42,7 @@
 
 type fileLimits struct {
 	Cores   float64     `toml:"cores" default:"1" range:"0.01..1024" doc:"cores"`
-	Memory  config.Size `toml:"memory" default:"192MiB" range:"8MiB.." doc:"memory; the runtime keeps to three quarters of it"`
+	Memory  config.Size `toml:"memory" default:"192MiB" range:"8MiB.." doc:"memory that the process may have resident; it plans with 80%, of at most 38 MiB with 95%"`
 	Sockets int         `toml:"sockets" default:"1024" range:"40..10000000" doc:"descriptors"`
 }
 
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -16,8 +16,9 @@
 	maxBufferedBody = 64 << 10 // bytes of a body that is buffered whole
 	maxLineBytes    = 256      // bytes of a chunk-size line or a trailer line
 
-	initialHeadBytes = 1 << 10 // capacity for a head that every connection has
-	initialFields    = 32      // likewise, of its table of header lines
+	minHeadBytes     = 256     // least capacity for a head
+	initialHeadBytes = 1 << 10 // capacity for a head that every connection may keep
+	initialFields    = 64      // likewise, of its table of header lines
 	fieldBytes       = 6       // of an entry of that table
 
 	// maxConnectionOptions limits the headers that a message names in Connection, each of which is compared with each header.
@@ -67,7 +68,7 @@
 	if len(h.raw)+n <= size {
 		return nil
 	}
-	size = max(size, initialHeadBytes)
+	size = max(size, minHeadBytes)
 	for size < len(h.raw)+n {
 		size *= 2
 	}
@@ -142,7 +143,7 @@
 				return err
 			}
 		}
-		h.fields = make([]field, 0, max(lines, initialFields))
+		h.fields = make([]field, 0, lines)
 	}
 	for at := len(h.raw) - len(rest); ; {
 		length := bytes.Index(h.raw[at:], []byte("\r\n"))
