--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: check build test lint run demo sim soak mutants fuzz faults virtual hard cluster-mutants cluster-demo measure-cluster sites clean
+.PHONY: check build test lint run demo sim soak crowd mutants fuzz faults virtual hard cluster-mutants cluster-demo measure-cluster sites clean
 
 # What CI runs.
 check: lint build test
@@ -45,6 +45,10 @@
 soak: build
 	bin/burlpass-lab soak --seeds $(if $(filter file,$(origin SEEDS)),20,$(SEEDS)) --from $(FROM) --parallel $(PARALLEL)
 
+# Crowds of hostile clients against one sidecar with little memory, 20 s each (50 of them unless SEEDS is given), PARALLEL at once.
+crowd: build
+	bin/burlpass-lab crowd --seeds $(if $(filter file,$(origin SEEDS)),50,$(SEEDS)) --from $(FROM) --parallel $(PARALLEL)
+
 # Known faults put into the program, and after how many simulated days each is found: some minutes.
 mutants: build
 	bin/burlpass-lab sim mutants
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -55,12 +55,13 @@
 var actions = []Action{KillSeries, Reload, Upgrade, Restart}
 
 const (
-	backendCount    = 12
-	ordinaryClients = 6
-	killsPerSeries  = 5
-	restartDelay    = time.Second            // between the end of a process and the start of the next
-	killDelay       = 400 * time.Millisecond // between the start of a process and its SIGKILL within a series
-	killAfterTerm   = 3700 * time.Millisecond
+	backendCount     = 12
+	ordinaryClients  = 6
+	killsPerSeries   = 5
+	restartDelay     = time.Second            // between the end of a process and the start of the next
+	killDelay        = 400 * time.Millisecond // between the start of a process and its SIGKILL within a series
+	killAfterTerm    = 3700 * time.Millisecond
+	connectAfterTerm = 400 * time.Millisecond // for which new connections are owed an answer after SIGTERM
 )
 
 // Options describe one play.
@@ -132,7 +133,7 @@
 	var mu sync.Mutex
 	var playing sync.WaitGroup
 	for range ordinaryClients {
-		client := &ordinary{addr: s.addr, mu: &mu, tally: &result.Ordinary, alive: s.alive.Load}
+		client := &ordinary{addr: s.addr, mu: &mu, tally: &result.Ordinary, alive: s.alive.Load, accepting: s.accepting.Load}
 		playing.Go(func() { client.run(playCtx) })
 	}
 	for _, kind := range o.crowd() {
@@ -205,8 +206,8 @@
 			return err
 		}
 		s.terminate(ctx, current)
-	case Restart:
-		s.alive.Store(false)
+	case Restart: // what is sent until the end on connections that stay open is owed its answer
+		time.AfterFunc(connectAfterTerm, func() { s.accepting.Store(false) })
 		s.terminate(ctx, current)
 		_, err := s.start(ctx)
 		return err
--- a/internal/lab/crowd/ordinary.go
+++ b/internal/lab/crowd/ordinary.go
@@ -54,8 +54,11 @@
 	mu    *sync.Mutex // guards tally
 	tally *Tally
 	alive func() bool // false while the sidecar is down: what it had then is not owed
-	conn  net.Conn
-	r     *bufio.Reader
+
+	accepting func() bool // false while nobody accepts: what is sent on a new connection then is not owed
+	connected bool        // the last request opened a connection
+	conn      net.Conn
+	r         *bufio.Reader
 }
 
 // run sends requests until ctx is done.
@@ -67,7 +70,7 @@
 		if ctx.Err() != nil && err != nil {
 			return
 		}
-		if wasAlive && o.alive() {
+		if wasAlive && o.alive() && (!o.connected || o.accepting()) {
 			o.mu.Lock()
 			o.tally.add(status, err)
 			o.mu.Unlock()
@@ -86,6 +89,7 @@
 // request sends one request and reads its answer. Where the connection ends without an answer, the close has crossed the request,
 // which goes out once more on a new connection with the same ID: a sidecar that has read the first refuses the second (409).
 func (o *ordinary) request() (status int, err error) {
+	o.connected = false
 	text := requestHead("GET", "availability/x", ordinaryDeadline) + "\r\n"
 	if status, err = o.send(text); errors.Is(err, errUnanswered) {
 		status, err = o.send(text)
@@ -100,6 +104,7 @@
 func (o *ordinary) send(text string) (status int, err error) {
 	reused := o.conn != nil
 	if !reused {
+		o.connected = true
 		if o.conn, err = net.DialTimeout("tcp", o.addr, dialTimeout); err != nil {
 			o.conn = nil
 			return http.StatusServiceUnavailable, nil // nothing was sent
--- a/internal/lab/crowd/sidecar.go
+++ b/internal/lab/crowd/sidecar.go
@@ -36,11 +36,12 @@
 	limits  Limits
 	socket  *os.File // the listening socket that each process inherits
 
-	alive atomic.Bool // serving, and not being ended
-	peak  int64       // bytes, of all processes that ran together
-	mu    sync.Mutex
-	lives []*life
-	log   *os.File
+	alive     atomic.Bool // running, or being ended in an orderly way
+	accepting atomic.Bool // new connections are owed an answer
+	peak      int64       // bytes, of all processes that ran together
+	mu        sync.Mutex
+	lives     []*life
+	log       *os.File
 }
 
 // life is one process.
@@ -125,6 +126,7 @@
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				s.alive.Store(true)
+				s.accepting.Store(true)
 				return nil
 			}
 		}
