A long request's time moves on only when all that has arrived was read

So no backlog, however small, shows that the client has not sent its last byte. The rule on backlogs is gone; the time moves on where all that has arrived was read, where a read had to wait for the client, and where more than 4 MiB are missing.

--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -145,10 +145,6 @@
 }
 
 const (
-	// maxBacklog is the number of unread bytes up to which a client's system is free to send. A receiver that has used up its
-	// window opens it again once half of it is free, and the smallest window is 64 KiB.
-	maxBacklog = 24 << 10
-
 	// maxSendBuffer is the number of bytes that a client's system holds for it, by the default of Linux (tcp_wmem).
 	maxSendBuffer = 4 << 20
 
@@ -156,22 +152,16 @@
 	settleTime = 20 * time.Millisecond
 )
 
-// isIncomplete reports whether the client has certainly not sent the last byte: all that has arrived was read (drained), or less
-// waits unread than the body, or its current chunk, still lacks, although the client's system could have sent more. Behind a
-// larger backlog, which a worker that takes the message slowly leaves, the last bytes may wait in the client's own system, unless
-// more is missing than that can hold.
+// isIncomplete reports whether the client has certainly not sent the last byte: all that has arrived was read (drained), and the
+// client's system had the time to send more, or more is missing than that can hold. While bytes wait unread, which a worker that
+// takes the message slowly leaves, the last ones may wait in the client's own system, however little of the window they use: on
+// loopback a sender waits for a window of 64 KiB.
 func (u *upload) isIncomplete(drained bool) bool {
 	unread, known := u.conn.UnreadBytes()
-	missing := u.body.remaining - int64(u.body.r.Buffered()+unread)
-	switch {
-	case known && missing > maxSendBuffer:
-		return true
-	case time.Since(u.lastRead) < settleTime:
-		return false
-	case drained:
+	if known && u.body.remaining-int64(u.body.r.Buffered()+unread) > maxSendBuffer {
 		return true
 	}
-	return known && unread <= maxBacklog && missing > 0
+	return drained && time.Since(u.lastRead) >= settleTime
 }
 
 // awaitComplete waits for the end of the message. It returns true once the end has arrived and been forwarded and the
