Plays of crowds judge no request that spans a SIGKILL

The play looked whether the sidecar was up at the request's beginning and end, and it was up again by then. It counts kills now; what a request gets without a kill is judged as before.

--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -139,7 +139,7 @@
 	var mu sync.Mutex
 	var playing sync.WaitGroup
 	for range ordinaryClients {
-		client := &ordinary{addr: s.addr, mu: &mu, tally: &result.Ordinary, alive: s.alive.Load, accepting: s.accepting.Load}
+		client := &ordinary{addr: s.addr, mu: &mu, tally: &result.Ordinary, alive: s.alive.Load, accepting: s.accepting.Load, kills: s.kills.Load}
 		playing.Go(func() { client.run(playCtx) })
 	}
 	for _, kind := range o.crowd() {
@@ -200,6 +200,7 @@
 	case KillSeries:
 		for range killsPerSeries {
 			s.alive.Store(false)
+			s.kills.Add(1)
 			current.end(syscall.SIGKILL)
 			sleep(ctx, restartDelay)
 			var err error
--- a/internal/lab/crowd/ordinary.go
+++ b/internal/lab/crowd/ordinary.go
@@ -55,8 +55,9 @@
 	tally *Tally
 	alive func() bool // false while the sidecar is down: what it had then is not owed
 
-	accepting func() bool // false while nobody accepts: what is sent on a new connection then is not owed
-	connected bool        // the last request opened a connection
+	kills     func() int64 // of the sidecar so far: what a request got across one is not owed
+	accepting func() bool  // false while nobody accepts: what is sent on a new connection then is not owed
+	connected bool         // the last request opened a connection
 	conn      net.Conn
 	r         *bufio.Reader
 }
@@ -65,12 +66,12 @@
 func (o *ordinary) run(ctx context.Context) {
 	defer o.disconnect()
 	for ctx.Err() == nil {
-		wasAlive := o.alive()
+		wasAlive, kills := o.alive(), o.kills()
 		status, err := o.request()
 		if ctx.Err() != nil && err != nil {
 			return
 		}
-		if wasAlive && o.alive() && (!o.connected || o.accepting()) {
+		if wasAlive && o.alive() && o.kills() == kills && (!o.connected || o.accepting()) {
 			o.mu.Lock()
 			o.tally.add(status, err)
 			o.mu.Unlock()
--- a/internal/lab/crowd/sidecar.go
+++ b/internal/lab/crowd/sidecar.go
@@ -38,7 +38,8 @@
 
 	alive     atomic.Bool // running, or being ended in an orderly way
 	accepting atomic.Bool // new connections are owed an answer
-	peak      int64       // bytes, of all processes that ran together
+	kills     atomic.Int64
+	peak      int64 // bytes, of all processes that ran together
 	mu        sync.Mutex
 	lives     []*life
 	log       *os.File
