No attempt begins for a client that has left behind a long message

Cause: the end of a client stands behind its bytes. Of a message over 64 KiB only the beginning is read before an attempt, and the kernel tells of an end only once all before it has arrived, which the receive window prevents.

Right before the first byte, if the client was last known to be there 50 ms ago or longer, the message is now read ahead, paid from the memory budget, until the client's system has nothing left to send. Whatever the length and the framing, its end comes to light then. Where there is no memory the call is refused: nothing was sent, and nobody can tell.

Two mutants of the simulation follow the order of the checks in guard.go, which changed since the look at the client may take some milliseconds.

--- a/internal/protocol/buffers.go
+++ b/internal/protocol/buffers.go
@@ -103,8 +103,10 @@
 	if n := c.r.Buffered(); n > 0 {
 		return c.r.Discard(n)
 	}
-	if err := c.AwaitInput(); err != nil {
-		return 0, err
+	if c.source.held() == 0 {
+		if err := c.AwaitInput(); err != nil {
+			return 0, err
+		}
 	}
 	buffer := discardBuffers.Get().(*[discardBufferSize]byte)
 	defer discardBuffers.Put(buffer)
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -20,12 +20,22 @@
 	Repeat      bool          // marked by the client as a retry
 	Write       bool
 	Message     Message
-	ClientLeft  <-chan struct{} // closed when the client has disconnected
-	IsConnected func() bool     // checks whether the client is still connected; after a false result ClientLeft is closed or the call has ended; nil if that is unknown
-	Upload      Upload          // the rest of a long message; nil if the message is complete
-	Origin      *Origin         // what rules match on; nil if no rules are in use
+	ClientLeft  <-chan struct{}    // closed when the client has disconnected
+	ClientState func() ClientState // checks whether the client is still connected; after ClientDisconnected, ClientLeft is closed or the call has ended; nil if that is unknown
+	Upload      Upload             // the rest of a long message; nil if the message is complete
+	Origin      *Origin            // what rules match on; nil if no rules are in use
 }
 
+// ClientState says whether the client of a call is still connected.
+type ClientState uint8
+
+// The states of a client.
+const (
+	ClientConnected ClientState = iota
+	ClientDisconnected
+	ClientUnknown // its end may stand behind bytes for which there is no memory
+)
+
 // Upload is the part of a call's message that is still to come.
 type Upload interface {
 	Complete() <-chan struct{} // closed when the last byte has been read
--- a/internal/protocol/handle.go
+++ b/internal/protocol/handle.go
@@ -32,7 +32,7 @@
 	c.overload.begin(c.Closing)
 	defer c.overload.end()
 	watcher := c.newDisconnectWatcher()
-	call.ClientLeft, call.IsConnected = watcher.disconnected, watcher.isConnected
+	call.ClientLeft, call.ClientState = watcher.disconnected, watcher.clientState
 	if c.upload == nil {
 		c.ClearReadBounds()
 	}
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -31,8 +31,9 @@
 // clientSource is the reader behind the buffer of a client's connection.
 type clientSource struct {
 	conn      *transport.Client
-	replay    []byte // bytes from a smaller buffer, returned again before anything else is read
-	truncated bool   // too much was sent ahead: what is not buffered yet is never parsed as a request
+	replay    []byte     // bytes from a smaller buffer, returned again before anything else is read
+	ahead     aheadQueue // bytes of a long message that were read before an attempt asked for them
+	truncated bool       // too much was sent ahead: what is not buffered yet is never parsed as a request
 
 	totalRead int64     // bytes read from the connection
 	arrivals  []arrival // when the bytes arrived that may still be asked about, in order
@@ -54,25 +55,34 @@
 		s.replay = s.replay[n:]
 		return n, nil
 	}
+	if s.ahead.size > 0 {
+		return s.ahead.take(b), nil
+	}
 	if s.truncated {
 		return 0, io.EOF
 	}
 	n, err := s.conn.Read(b)
-	if n > 0 {
-		s.totalRead += int64(n)
-		if len(s.arrivals) == maxArrivals { // of the two oldest, the later bytes are taken to have arrived with the earlier
-			s.arrivals[1].at = s.arrivals[0].at
-			s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
-		}
-		s.arrivals = append(s.arrivals, arrival{s.totalRead, s.conn.LastByte()})
-	}
+	s.recordArrival(n)
 	return n, err
 }
 
+// recordArrival notes that n bytes have just been read from the connection.
+func (s *clientSource) recordArrival(n int) {
+	if n == 0 {
+		return
+	}
+	s.totalRead += int64(n)
+	if len(s.arrivals) == maxArrivals { // of the two oldest, the later bytes are taken to have arrived with the earlier
+		s.arrivals[1].at = s.arrivals[0].at
+		s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
+	}
+	s.arrivals = append(s.arrivals, arrival{s.totalRead, s.conn.LastByte()})
+}
+
 // arrivalTime returns when the last byte that was consumed from r, which reads from s, had arrived. After a request has
 // been read, that is its last byte. Arrivals before it are dropped.
 func (s *clientSource) arrivalTime(r *bufio.Reader) time.Time {
-	consumed := s.totalRead - int64(len(s.replay)) - int64(r.Buffered())
+	consumed := s.totalRead - int64(s.held()) - int64(r.Buffered())
 	for len(s.arrivals) > 1 && s.arrivals[0].offset < consumed {
 		s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
 	}
@@ -119,7 +129,7 @@
 		case transport.PendingEnd:
 			w.markDisconnected()
 		case transport.PendingBytes:
-			if !w.mayReadAhead { // the bytes belong to the request's own message, which this must not read
+			if !w.mayReadAhead { // the bytes belong to the request's own message
 				return w.isPeerOpen()
 			}
 			err := w.client.readAhead(&w.discarded)
@@ -137,6 +147,73 @@
 	return w.isPeerOpen()
 }
 
+// clientState is isConnected for the check right before an attempt. While a long message has not been read, it looks behind the
+// message, which isConnected does not.
+func (w *disconnectWatcher) clientState() ClientState {
+	if state, known := w.uploadClientState(); known {
+		return state
+	}
+	if w.isConnected() {
+		return ClientConnected
+	}
+	return ClientDisconnected
+}
+
+// Limits on the check whether a client whose message has not been read is still there.
+const (
+	maxPresenceAge   = 50 * time.Millisecond // for which a client that was there needs no further check; half of what is allowed for an attempt
+	quietChecks      = 10                    // checks without unread bytes after which its system has nothing left to send
+	quietCheckDelay  = time.Millisecond      // between two of them
+	maxPresenceCheck = 50 * time.Millisecond // for the whole check, unless the process gets no processor time for quietChecks
+)
+
+// uploadClientState checks for a disconnect behind a long message of which no attempt has read anything: it reads the message ahead
+// until the client's system has nothing left to send. The second result is false where the message does not stand in the way.
+func (w *disconnectWatcher) uploadClientState() (ClientState, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.client.upload
+	if u == nil || u.source == nil || w.answered || w.gone || w.mayReadAhead || time.Since(u.presentAt) < maxPresenceAge {
+		return 0, false
+	}
+	begun := time.Now()
+	for quiet, checks := 0, 0; checks <= quietChecks || time.Since(begun) < maxPresenceCheck; checks++ {
+		switch w.client.Pending() {
+		case transport.PendingEnd:
+			w.markDisconnected()
+			return ClientDisconnected, true
+		case transport.PendingBytes:
+			err := u.readAhead()
+			switch {
+			case errors.Is(err, errUploadStarted):
+				return 0, false
+			case errors.Is(err, errNoRoomAhead):
+				return w.stateBehindUnread(), true
+			case err != nil && !isTimeout(err):
+				w.markDisconnected()
+				return ClientDisconnected, true
+			}
+		case transport.PendingNone:
+			if quiet++; quiet > quietChecks || u.isHeld() {
+				u.presentAt = time.Now()
+				return ClientConnected, true
+			}
+			time.Sleep(quietCheckDelay)
+		default:
+			return 0, false
+		}
+	}
+	return w.stateBehindUnread(), true
+}
+
+// stateBehindUnread returns what the kernel knows of a client whose bytes cannot be read. The lock must be held.
+func (w *disconnectWatcher) stateBehindUnread() ClientState {
+	if w.isPeerOpen() {
+		return ClientUnknown
+	}
+	return ClientDisconnected
+}
+
 // isPeerOpen asks the kernel whether the client has closed its connection, behind whatever is unread. The lock must be held.
 func (w *disconnectWatcher) isPeerOpen() bool {
 	if w.client.PeerClosed() {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -115,6 +115,7 @@
 	stop := context.AfterFunc(s.Closing, conn.EndIdleWaits)
 	defer stop()
 	defer c.aheadGrant.Release()
+	defer c.source.ahead.release()
 	c.serveCalls()
 	c.logClose()
 	c.releaseRequest()
@@ -264,7 +265,8 @@
 	}
 	if !body.done {
 		c.upload = newUpload(body, c.Client, time.Since(begun), int64(len(c.body)), 0)
-		c.upload.memory = c.Memory
+		c.upload.memory, c.upload.source = c.Memory, &c.source
+		c.upload.presentAt = c.started.Add(-c.overload.delay())
 	}
 	return nil
 }
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -39,6 +39,9 @@
 	received int64         // bytes of the body so far
 	lastRead time.Time     // when the last read ended
 	memory   *memory.Budget
+	source   *clientSource // what body reads from; nil if nothing is read ahead
+
+	presentAt time.Time // when the client was last known to be connected; guarded by the mutex of the disconnectWatcher
 
 	mu           sync.Mutex
 	incompleteAt time.Time     // latest time at which the last byte had certainly not arrived
@@ -122,7 +125,7 @@
 		return 0, net.ErrClosed
 	}
 	begun := time.Now()
-	drained := u.body.r.Buffered() == 0 && u.conn.Quiet()
+	drained := u.body.r.Buffered()+u.source.held() == 0 && u.conn.Quiet()
 	if u.isIncomplete(drained) {
 		u.incompleteAt = begun
 	}
@@ -158,7 +161,7 @@
 // loopback a sender waits for a window of 64 KiB.
 func (u *upload) isIncomplete(drained bool) bool {
 	unread, known := u.conn.UnreadBytes()
-	if known && u.body.remaining-int64(u.body.r.Buffered()+unread) > maxSendBuffer {
+	if known && u.body.remaining-int64(u.body.r.Buffered()+u.source.held()+unread) > maxSendBuffer {
 		return true
 	}
 	return drained && time.Since(u.lastRead) >= settleTime
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -20,6 +20,8 @@
 	attempts   int         // number of attempts so far
 	clientLeft atomic.Bool // no further attempt may start
 
+	clientUnknown atomic.Bool // an attempt did not start since it is unknown whether the client is still connected
+
 	policy          CallPolicy    // the gate's terms, set once
 	budgetReduction time.Duration // by which the terms shorten the client's time
 	mayHaveRun      bool          // an attempt has ended that the worker may have executed
@@ -167,6 +169,9 @@
 				a.chosen = true
 			case result.Rest != nil:
 				result.Rest.Close(false)
+			case final == nil && active.clientUnknown.Load():
+				final = active.exhaustedAnswer()
+				abortAll(inFlight)
 			case final == nil && call.Upload != nil && call.Upload.ReadStarted(): // part of the message was passed on and cannot be sent again
 				final = &protocol.Answer{Verdict: protocol.Failed}
 				if status == decide.Full || status == decide.ConnectFailed || status == decide.NotRun {
@@ -310,12 +315,19 @@
 	return a
 }
 
-// clientPresent reports whether the client is still connected. It is checked right before an attempt's first byte.
+// clientPresent reports whether the client is known to be connected. It is checked right before an attempt's first byte.
 func (c *activeCall) clientPresent() bool {
-	if !c.clientLeft.Load() && c.call.IsConnected != nil && !c.call.IsConnected() {
+	if c.clientLeft.Load() || c.call.ClientState == nil {
+		return !c.clientLeft.Load()
+	}
+	state := c.call.ClientState()
+	switch state {
+	case protocol.ClientDisconnected:
 		c.clientLeft.Store(true)
+	case protocol.ClientUnknown:
+		c.clientUnknown.Store(true)
 	}
-	return !c.clientLeft.Load()
+	return state == protocol.ClientConnected
 }
 
 // outcomeEvent returns the balancer's event for how an attempt ended.
--- a/internal/routing/first_byte_test.go
+++ b/internal/routing/first_byte_test.go
@@ -216,6 +216,23 @@
 	receive(t, s.answers)
 }
 
+// Guards against an attempt, and against a call without an answer, where nobody can tell whether the client is still there.
+func TestUnknownClientIsRefused(t *testing.T) {
+	s := newTestSidecar(t, decide.Class{Effect: decide.Unsafe}, 0)
+	open := s.gateFirstWorker()
+	go func() {
+		s.answers <- s.Serve(&protocol.Call{Budget: 30 * time.Second, Message: timedMessage{}, ClientLeft: s.left,
+			ClientState: func() protocol.ClientState { return protocol.ClientUnknown }})
+	}()
+	for receive(t, s.dials) != s.addrs[0] {
+	}
+	open()
+	expectNoBytes(t, receive(t, s.accepted[0]))
+	if a := receive(t, s.answers); a.Verdict != protocol.Refused {
+		t.Errorf("got %+v", a)
+	}
+}
+
 // clientLeft reports whether all open calls have noticed that their client left.
 func (s *testSidecar) clientLeft() bool {
 	s.Router.mu.Lock()
--- a/internal/routing/guard.go
+++ b/internal/routing/guard.go
@@ -63,14 +63,15 @@
 // is listed up and is the process that was chosen, a repeat is not too late, and the client is still connected.
 func (a *attempt) Ready() bool {
 	streaming := a.activeCall.call.Upload != nil // its deadline moves while the client is sending
-	return (streaming || time.Now().Before(a.initialDeadline)) && a.router.mayStart(a.command) && a.activeCall.clientPresent()
+	inTime := streaming || time.Now().Before(a.initialDeadline)
+	return inTime && a.activeCall.clientPresent() && a.router.mayStart(a.command) // the check of the client may take some milliseconds
 }
 
 // StartedLate checks the rules again for an attempt whose first byte was sent this long after Ready, and counts violations.
 func (a *attempt) StartedLate(delay time.Duration) {
 	r, active := a.router, a.activeCall
 	attributes := []any{"attempt", a.number, "after", delay}
-	if !active.clientPresent() {
+	if !active.clientPresent() && active.clientLeft.Load() {
 		r.Invariants.ReportViolation(invariant.ClientPresent, string(active.call.ID), attributes...)
 	}
 	if !r.mayStart(a.command) && delay > r.Decide.Safety.DrainGrace {
--- a/internal/sim/mutant.go
+++ b/internal/sim/mutant.go
@@ -70,14 +70,14 @@
 		one("key-lost", "the idempotency key is not passed on", "internal/protocol/worker.go",
 			"!equalFold(h.name(f), headerExpires) && !equalFold(h.name(f), \"Host\")", "!equalFold(h.name(f), headerExpires) && !equalFold(h.name(f), \"Host\") && !equalFold(h.name(f), headerIdempotencyKey)"),
 		one("still-unasked", "nobody asks again before writing", "internal/routing/guard.go",
-			" && a.router.mayStart(a.command) && a.activeCall.clientPresent()", ""),
+			" && a.activeCall.clientPresent() && a.router.mayStart(a.command)", ""),
 		one("watch-not-renewed", "where lists are pushed the first answer is the last that is heard", "internal/routing/feed.go",
 			"			full = outdated //", "			_ = outdated\n			return //"),
 		{"unsafe-copied", "a second copy of a call that must not run twice goes out", []Edit{
 			{"decide/request.go", "len(r.attempts) >= b.config.Limits.MaxAttempts || r.class.Effect == Unsafe {", "len(r.attempts) >= b.config.Limits.MaxAttempts {"},
 			{"decide/rules.go", "b.mayRunAgainOn(r, s) && (b.minCapacityShare(s)", "(b.minCapacityShare(s)"}}},
 		one("copy-unasked", "nobody asks again before a second copy's first byte", "internal/routing/guard.go",
-			" && a.router.mayStart(a.command) && a.activeCall.clientPresent()", " && (a.number > 0 || a.router.mayStart(a.command) && a.activeCall.clientPresent())"),
+			" && a.activeCall.clientPresent() && a.router.mayStart(a.command)", " && (a.number > 0 || a.activeCall.clientPresent() && a.router.mayStart(a.command))"),
 		one("cell-forgotten", "a keyed repeat leaves its cell", "decide/rules.go",
 			"|| s.Cell == first.listed.Cell", "|| s.Zone == first.listed.Zone"),
 		{"retry-past-window", "what has been passed on in part goes out again, from its beginning", []Edit{
