A stop finishes the answers that are being passed on

Cause: Listener.EndBy put one end on every connection, taken from the earliest moment of SIGKILL. It is right for calls without an answer, which are owed one before. An answer under way is owed its rest; only SIGKILL excuses its loss.

Connections on which an answer is passed on are no longer subject to that end.

--- a/internal/program/run.go
+++ b/internal/program/run.go
@@ -162,8 +162,9 @@
 	return 0
 }
 
-// Run serves until a stop signal arrives and every accepted call has been answered, or the exit timeout has passed. SIGHUP
-// only reloads the configuration, also while the sidecar is stopping.
+// Run serves until a stop signal arrives and every accepted call has been answered. Calls without an answer get one by the exit
+// timeout; a response that is being passed on goes on for as long as both sides move. SIGHUP only reloads the configuration, also while the
+// sidecar is stopping.
 func (s *Sidecar) Run(signals <-chan os.Signal) {
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
@@ -254,13 +255,7 @@
 		stopRules()
 		s.closeMember()
 	}()
-	select {
-	case <-finished:
-		s.log.Info("stop", "invariants_broken", invariants.Total())
-	case <-time.After(time.Until(exitBy) + 2*finalWritePeriod):
-		invariants.ReportViolation(invariant.ExitInTime, "", "open", router.OpenCalls(), "reset", s.listener.ResetBusy())
-		s.log.Error("stop_forced", "invariants_broken", invariants.Total())
-	}
+	s.awaitStop(finished, exitBy, router, invariants)
 }
 
 // newServer returns the server of clients' calls, without the contexts of its shutdown.
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -131,7 +131,8 @@
 
 // relayReply forwards a reply whose body is still arriving, and reports whether all of it was written. If the worker breaks
 // off, the client's connection is closed, so that the client can tell; if the client breaks off, the worker's is. A stalled
-// worker is waited for until the client's deadline, or for relayStallTimeout if that ends later.
+// worker is waited for until the client's deadline, or for relayStallTimeout if that ends later. A process that stops goes on
+// for as long as both sides move.
 func (c *client) relayReply(reply *Reply, extra string, end time.Time) bool {
 	framing, chunked := "", false
 	switch {
@@ -146,6 +147,8 @@
 		framing += "Connection: close\r\n"
 	}
 	c.LimitUnsent()
+	c.BeginResponse()
+	defer c.EndResponse()
 	out := net.Buffers{[]byte(statusLines[200]), reply.Header, []byte(extra + framing + "\r\n")}
 	piece := reply.Body
 	var grant memory.Grant
@@ -167,7 +170,7 @@
 			reply.Rest.Close(err == nil && reply.reuse)
 			return err == nil
 		}
-		reply.Rest.ReadBy(c.capAtConnectionEnd(transport.Latest(end, time.Now().Add(relayStallTimeout))))
+		reply.Rest.ReadBy(transport.Latest(end, time.Now().Add(relayStallTimeout)))
 		n, err := reply.rest.Read(buf)
 		if err != nil && err != io.EOF {
 			c.closing, c.broken = true, true
@@ -180,11 +183,3 @@
 		out, piece = out[:0], buf[:n]
 	}
 }
-
-// capAtConnectionEnd returns t, or the connection's end if that is earlier.
-func (c *client) capAtConnectionEnd(t time.Time) time.Time {
-	if end := c.End(); !end.IsZero() && end.Before(t) {
-		return end
-	}
-	return t
-}
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -29,6 +29,9 @@
 	return bodyBaseTimeout + time.Duration(n)*time.Second/minBodyRate
 }
 
+// MaxResponseTime is the longest time that a client may take for a response.
+func MaxResponseTime() time.Duration { return bodyTimeout(MaxBody) }
+
 // upload is the rest of a client's long message. The goroutine of a worker's connection reads it, once; the client's own
 // goroutine waits until that has finished before it continues reading.
 type upload struct {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -66,11 +66,14 @@
 	return err
 }
 
-// Send writes all buffers before the timeout or the end of the connection, whichever is earlier. It returns an error if not
+// Send writes all buffers before the timeout or the end of the connection (but see BeginResponse), whichever is earlier. It returns an error if not
 // all bytes could be written.
 func (c *Client) Send(buffers net.Buffers, timeout time.Duration) error {
 	c.prepareWrite(timeout)
 	_, err := buffers.WriteTo(c.conn)
+	if err == nil {
+		c.recordSent()
+	}
 	return err
 }
 
--- a/internal/transport/deadline.go
+++ b/internal/transport/deadline.go
@@ -31,6 +31,7 @@
 	interrupted   bool      // reads fail until the next stage
 	idleEnded     bool      // no further waits for a next request
 	end           time.Time // of the connection, with the process; zero while unknown
+	progressAt    time.Time // when part of a response was last sent; zero while no response is being passed on
 	readDeadline  time.Time // as set on the socket
 	writeDeadline time.Time // as set on the socket
 }
@@ -72,7 +73,8 @@
 	d.applyReadDeadline()
 }
 
-// EndBy limits all reads and writes on this connection. A limit later than the one already set has no effect.
+// EndBy limits all reads and writes on this connection but those of a response that is being passed on. A limit later than the one
+// already set has no effect.
 func (d *deadlines) EndBy(end time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -81,12 +83,43 @@
 	}
 	d.end = end
 	d.applyReadDeadline()
-	if d.writeDeadline.After(end) {
+	if d.progressAt.IsZero() && d.writeDeadline.After(end) {
 		d.writeDeadline = end
 		d.conn.SetWriteDeadline(end)
 	}
 }
 
+// BeginResponse says that a response is being passed on, piece by piece, until EndResponse. Its writes are not subject to EndBy:
+// Listener.EndStalled ends those that make no progress.
+func (d *deadlines) BeginResponse() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.progressAt = time.Now()
+}
+
+// EndResponse says that no response is being passed on any more.
+func (d *deadlines) EndResponse() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.progressAt = time.Time{}
+}
+
+// recordSent records that a piece has been sent.
+func (d *deadlines) recordSent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.progressAt.IsZero() {
+		d.progressAt = time.Now()
+	}
+}
+
+// responseProgress returns when part of the current response was last sent, and whether there is one.
+func (d *deadlines) responseProgress() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.progressAt, !d.progressAt.IsZero()
+}
+
 // End returns the limit set by EndBy, the zero time if there is none.
 func (d *deadlines) End() time.Time {
 	d.mu.Lock()
@@ -137,7 +170,10 @@
 func (d *deadlines) prepareWrite(timeout time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.writeDeadline = earlier(time.Now().Add(timeout), d.end)
+	d.writeDeadline = time.Now().Add(timeout)
+	if d.progressAt.IsZero() {
+		d.writeDeadline = earlier(d.writeDeadline, d.end)
+	}
 	d.conn.SetWriteDeadline(d.writeDeadline)
 }
 
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -209,30 +209,6 @@
 	}
 }
 
-// EndBy limits the lifetime of all connections, including those accepted later.
-func (l *Listener) EndBy(end time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.end = end
-	for c := range l.clients {
-		c.EndBy(end)
-	}
-}
-
-// ResetBusy resets the connections with a request in progress and returns their number. It is called right before the
-// process exits: the serving goroutines may not have noticed when it returns.
-func (l *Listener) ResetBusy() (n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.clients {
-		if c.phase == PhaseBusy {
-			c.Reset()
-			n++
-		}
-	}
-	return n
-}
-
 // admit counts a connection as open. At the limit it first waits for a place, as long as one can be freed soon.
 func (l *Listener) admit(c *Client) {
 	spare := max(cap(l.slots)-l.limit, 1)
