Moves in quick succession no longer keep the sidecar without a list

Cause: MoveRegistry ended the exchange that was under way, and every answer from before the last move was dropped, so that each configuration began the question anew.

TestSidecar/reload wanted the old watch closed before the new registry has answered; it wants it closed after that.

--- a/internal/program/sidecar_test.go
+++ b/internal/program/sidecar_test.go
@@ -119,8 +119,8 @@
 			file send next
 			sidecar send HUP
 			next expect GET /catalog/members
-			registry wait
 			next send 0 reset 1=up
+			registry wait
 			next expect GET /catalog/members?since=0&timeout_ms=RANDOM
 			a send GET /availability/x id=t1 expires=2000m
 			w1 expect GET /availability/x id=t1 at=1
--- a/internal/routing/feed.go
+++ b/internal/routing/feed.go
@@ -24,37 +24,53 @@
 	agentSilenceWarning = time.Second            // time without an answer before the first warning; doubles with each warning
 )
 
-// followAgent watches the agent until the router ends. Each watch begins with a full list, whatever its generation, because
-// an agent that was unavailable may have restarted its generation numbers.
+// followAgent watches the agent until the router ends. After a move it watches the new agent at once, beside what is under way
+// at the one before.
 func (r *Router) followAgent() {
 	for r.ctx.Err() == nil {
 		r.mu.Lock()
 		sub := r.subscribe()
 		r.mu.Unlock()
-		watcher := &agentWatcher{Router: r, sub: sub}
-		for full := true; sub.ctx.Err() == nil; {
-			response, ok := watcher.poll(full)
-			if !ok { // the registry has moved, or the router has ended
-				break
-			}
-			kind := decide.ListDelta
-			if response.full {
-				r.mu.Lock()
-				r.listFromOldRegistry = true // this list sets the generation, even to an older one
-				r.mu.Unlock()
-				kind = decide.ListFull
-			}
-			r.mu.Lock()
-			outdated := !response.full && !response.list.Reset && response.list.Generation < r.generation
-			r.mu.Unlock()
-			r.applyList(sub.registrySource, response.list, kind)
-			full = outdated // the generation has restarted without a reset: the delta does not apply to the current list
-			sleep(sub.ctx, agentMinInterval)
+		go r.watchAgent(sub)
+		select {
+		case <-sub.moved:
+		case <-r.ctx.Done():
+		}
+	}
+}
+
+// watchAgent watches one agent until the registry moves. It begins with a full list, whatever its generation, because an agent that was
+// unavailable may have restarted its generation numbers.
+func (r *Router) watchAgent(sub *subscription) {
+	defer r.endSubscription(sub)
+	watcher := &agentWatcher{Router: r, sub: sub}
+	defer watcher.close()
+	for full := true; r.isSubscribed(sub); {
+		response, ok := watcher.poll(full)
+		if !ok { // a later registry has answered, or the router has ended
+			return
+		}
+		kind := decide.ListDelta
+		if response.full {
+			r.acceptAnyGeneration(sub)
+			kind = decide.ListFull
 		}
-		watcher.close()
+		r.mu.Lock()
+		outdated := !response.full && !response.list.Reset && response.list.Generation < r.generation
+		r.mu.Unlock()
+		r.applyList(sub.registrySource, response.list, kind)
+		full = outdated // the generation has restarted without a reset: the delta does not apply to the current list
+		sleep(sub.ctx, agentMinInterval)
 	}
 }
 
+// acceptAnyGeneration makes the subscription's full list set the generation, even to an older one.
+func (r *Router) acceptAnyGeneration(sub *subscription) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.anyGeneration = sub.epoch >= r.listEpoch
+}
+
 // agentWatcher is one watch on an agent.
 type agentWatcher struct {
 	*Router
@@ -120,6 +136,13 @@
 				hedge.Reset(agentRetryInterval)
 			}
 		case <-hedge.C:
+			if !w.isSubscribed(w.sub) { // the registry has moved: only what is under way goes on
+				if inFlight == 0 {
+					return agentResponse{}, false
+				}
+				hedge.Reset(agentRetryInterval)
+				continue
+			}
 			if inFlight == 0 {
 				send(true, agentCallGrace)
 			} else if inFlight <= agentMaxHedges {
--- a/internal/routing/registry.go
+++ b/internal/routing/registry.go
@@ -13,69 +13,6 @@
 	"burlpass/internal/transport"
 )
 
-// subscription is one watch on the registry. It is compared by pointer, so that an ended watch does not pass for the
-// current one.
-type subscription struct {
-	registrySource
-	fullListFirst bool // the current list is another registry's, so that a full list is needed first
-	catchUp       bool // the previous watch timed out, so that the first one asks with a short wait for what that missed
-	ctx           context.Context
-	cancel        context.CancelFunc
-}
-
-// registrySource identifies the origin of a list: the registry's address, and the number of moves before it.
-type registrySource struct {
-	addr  string
-	epoch int
-}
-
-// MoveRegistry switches to the registry at another address. Late answers of the old registry are ignored, and ending its
-// watch is no failure. The balancer is notified and requests the new registry's list.
-func (r *Router) MoveRegistry(addr string) {
-	r.mu.Lock()
-	r.unsubscribe()
-	r.registrySource = registrySource{addr, r.epoch + 1}
-	r.listFromOldRegistry = true
-	actions := r.handle(decide.Event{Kind: decide.Members, List: decide.ListSourceChanged})
-	r.mu.Unlock()
-	r.execute(actions)
-}
-
-// setWatch starts or ends the watch on the registry as the balancer commands. Where lists are pushed, followAgent watches
-// for as long as the router runs.
-func (r *Router) setWatch(on bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case !r.Decide.Subscribe:
-	case on && r.subscription == nil:
-		sub := r.subscribe()
-		go func() {
-			if err := r.runWatch(sub); err != nil {
-				r.reportListFailure(sub, "watch", err)
-			}
-		}()
-	case !on:
-		r.unsubscribe()
-	}
-}
-
-// subscribe creates the subscription to the current registry. The caller holds r.mu.
-func (r *Router) subscribe() *subscription {
-	sub := &subscription{registrySource: r.registrySource, fullListFirst: r.listFromOldRegistry, catchUp: r.registrySilent}
-	sub.ctx, sub.cancel = context.WithCancel(r.ctx)
-	r.subscription = sub
-	return sub
-}
-
-// unsubscribe ends the active watch, if any. The caller holds r.mu.
-func (r *Router) unsubscribe() {
-	if r.subscription != nil {
-		r.subscription.cancel()
-		r.subscription = nil
-	}
-}
-
 // minWatchInterval is the minimum time from one watch request to the next, so that a registry that always answers at once
 // is not flooded. It must stay below 200 ms, within which the next request has to follow an answer.
 const minWatchInterval = 100 * time.Millisecond
@@ -83,11 +20,11 @@
 // runWatch asks the registry again as soon as it has answered, which keeps the watch alive, until an exchange fails. It
 // returns that error, or nil if this sidecar ended the watch.
 func (r *Router) runWatch(sub *subscription) error {
-	defer sub.cancel()
+	defer r.endSubscription(sub)
 	timeouts := newRegistryTimeouts(r.Decide.Safety.PropagationLimit())
 	registry := &protocol.RegistryClient{Network: r.Network, Addr: sub.addr}
 	defer registry.Close()
-	for {
+	for r.isSubscribed(sub) {
 		next := time.After(minWatchInterval)
 		var list *protocol.List
 		var err error
@@ -122,6 +59,7 @@
 		r.applyList(sub.registrySource, list, kind)
 		<-next
 	}
+	return nil
 }
 
 // fetchList asks for the full list once.
@@ -165,14 +103,14 @@
 
 // applyList applies a list and notifies the balancer. The list is the cached one of the start, a full one from a fetch, or
 // the result of a watch, which may be full or a delta. The workers' addresses and the balancer change under the same lock,
-// so that no choice falls between the two. A list of an earlier registry is ignored.
+// so that no choice falls between the two. A list of an earlier registry than the current list's is ignored.
 func (r *Router) applyList(from registrySource, list *protocol.List, kind decide.ListKind) {
 	r.mu.Lock()
-	if from != r.registrySource {
+	if from.epoch < r.listEpoch {
 		r.mu.Unlock()
 		return
 	}
-	outdated := list.Generation < r.generation && !r.listFromOldRegistry // generations of different registries are not comparable
+	outdated := list.Generation < r.generation && from.epoch == r.listEpoch && !r.anyGeneration // generations of different registries are not comparable
 	switch {
 	case outdated && (kind == decide.ListFull || kind == decide.ListDelta && !list.Reset):
 		// The answer of a slower exchange: applying it would bring back workers that have drained since. The balancer
@@ -184,9 +122,13 @@
 	r.generation = list.Generation
 	hadList := r.receivedList
 	if kind != decide.ListCached {
-		r.lastAnswer, r.registrySilent, r.receivedList = time.Now(), false, true
+		r.lastAnswer, r.receivedList = time.Now(), true
+		r.registrySilent = r.registrySilent && from != r.registrySource
+	}
+	if kind != decide.ListDelta {
+		r.listEpoch, r.anyGeneration = from.epoch, false
+		r.endSupersededBefore(from.epoch)
 	}
-	r.listFromOldRegistry = r.listFromOldRegistry && kind == decide.ListDelta
 	servers := make([]decide.Server, 0, len(list.Instances))
 	stalePeers := []transport.Peer{} // whose idle connections must be closed
 	listed := map[decide.ServerID]bool{}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -77,14 +77,16 @@
 	unknownZones map[string]int  // numbers of zones missing from the settings, at most maxUnknownZones
 	seenWorkers  map[string]bool // registry IDs of workers listed since the start, at most maxSeenWorkers
 
-	registrySource                              // the current registry
-	listFromOldRegistry bool                    // the current list came from the previous registry
-	generation          uint64                  // of the current list
-	subscription        *subscription           // the active watch, or nil
-	registrySilent      bool                    // an exchange with the registry timed out, and none has succeeded since
-	receivedList        bool                    // the registry has sent a list since the start
-	startTimes          map[string]processStart // by the registry's ID, at most maxSeenWorkers
-	lastAnswer          time.Time               // when the registry last answered; initially the start of the router
+	registrySource                         // the current registry
+	listEpoch      int                     // epoch of the registry that sent the current list
+	anyGeneration  bool                    // the next full list is applied whatever its generation
+	generation     uint64                  // of the current list
+	subscription   *subscription           // the active watch, or nil
+	superseded     []*subscription         // watches on earlier registries whose exchange is under way, oldest first
+	registrySilent bool                    // an exchange with the current registry timed out, and none has succeeded since
+	receivedList   bool                    // the registry has sent a list since the start
+	startTimes     map[string]processStart // by the registry's ID, at most maxSeenWorkers
+	lastAnswer     time.Time               // when the registry last answered; initially the start of the router
 }
 
 // New returns a Router that starts with the workers of the list known. It runs until ctx is done.
