Small chunks that have come together go on together

Cause: each chunk was passed on by a write of its own, so that a byte cost several system calls and a turn of the scheduler. Chunks that are buffered now go on in one piece, whole plain ones by a short parser; a body in chunks of which more has come is read through 8 KiB in place of 1, paid from the memory budget. The same toward clients.

Turns of connections are not begun.

--- a/internal/protocol/ahead_test.go
+++ b/internal/protocol/ahead_test.go
@@ -22,6 +22,7 @@
 	ask    chan struct{} // each receive lets one call ask
 	states chan ClientState
 	bodies chan []byte // what an attempt has sent of a call whose client is connected
+	pieces int         // writes of the attempt after its first; may be read once bodies has been received from
 }
 
 func (h *delayedHandler) Healthy() bool { return true }
@@ -38,6 +39,7 @@
 		sent.Write(piece)
 	}
 	err := call.Message.Rest()(func(piece net.Buffers, _ bool) error {
+		h.pieces++
 		for _, b := range piece {
 			sent.Write(b)
 		}
--- a/internal/protocol/answer.go
+++ b/internal/protocol/answer.go
@@ -171,7 +171,7 @@
 			return err == nil
 		}
 		reply.Rest.ReadBy(transport.Latest(end, time.Now().Add(relayStallTimeout)))
-		n, err := reply.rest.Read(buf)
+		n, err := reply.rest.readTogether(buf)
 		if err != nil && err != io.EOF {
 			c.closing, c.broken = true, true
 			reply.Rest.Close(false)
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -18,6 +18,7 @@
 	inChunk    bool  // the line end that closes the current chunk has not been read yet
 	done       bool  // the whole body has been read
 	allowance  int64 // bytes that further chunks, or the rest of a body that extends to the connection's end, may contain
+	failed     error // returned by the next Read; bytes before it have been returned
 }
 
 // body returns a reader for the body that follows a head. A body of unknown length is limited to limit bytes. A
@@ -32,6 +33,8 @@
 // connection ends earlier.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	switch {
+	case b.failed != nil:
+		return 0, b.failed
 	case b.done:
 		return 0, io.EOF
 	case len(p) == 0:
@@ -106,7 +109,7 @@
 		if len(dst) == cap(dst) {
 			dst = slices.Grow(dst, 512)
 		}
-		n, err := b.Read(dst[len(dst):min(cap(dst), limit)])
+		n, err := b.readTogether(dst[len(dst):min(cap(dst), limit)])
 		dst = dst[:len(dst)+n]
 		if err != nil && err != io.EOF {
 			return dst, err
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -264,6 +264,9 @@
 		}
 	}
 	if !body.done {
+		if body.chunked && c.r.Buffered() > 0 && c.growBuffer() { // so that many small chunks are read together
+			body.r = c.r
+		}
 		c.upload = newUpload(body, c.Client, time.Since(begun), int64(len(c.body)), 0)
 		c.upload.memory, c.upload.source = c.Memory, &c.source
 		c.upload.presentAt = c.started.Add(-c.overload.delay())
--- a/internal/protocol/upload.go
+++ b/internal/protocol/upload.go
@@ -110,7 +110,7 @@
 		if u.body.chunked {
 			piece = encodeChunk(buf[:n])
 		}
-		if u.body.done {
+		if u.body.done && !u.body.chunked {
 			close(u.complete)
 			return write(piece, true)
 		}
@@ -134,7 +134,7 @@
 	}
 	u.conn.SetReadBounds(transport.ReadBounds{StallTimeout: stallTimeout, Until: begun.Add(bodyTimeout(u.received+int64(len(buf))) - u.waited), RequestAccepted: true})
 	u.mu.Unlock()
-	n, err := u.body.Read(buf)
+	n, err := u.body.readTogether(buf)
 	u.lastRead = time.Now()
 	u.received += int64(n)
 	wait := u.lastRead.Sub(begun)
