An older order to enable gives way to another member's order to disable

A stale order was sent again on the newest base, whoever had changed the item since.

Out wins now where two orders did not know of each other: an order to enable that another member's order to disable has made stale is dropped, its operator gets a NAK or finds order_superseded in the log, and the record's word holds there too, also after a restart.

Schedules with orders of several members and mutants are not begun.

--- a/internal/orders/keeper.go
+++ b/internal/orders/keeper.go
@@ -21,6 +21,7 @@
 const (
 	Here       = "here"       // in force at this process, which keeps trying to have it committed
 	Everywhere = "everywhere" // a majority of voters has it on disk, and every member that is connected to them applies it
+	Superseded = "superseded" // not in force: another member disabled the target, which this member did not know
 )
 
 const (
@@ -94,7 +95,8 @@
 }
 
 // Order disables or enables a worker or a zone: here at once, and at all members if the order is committed before ctx ends. It returns where the
-// order is in force, Here or Everywhere. An order that is not committed in time is retried until it is, also by the next process.
+// order is in force, Here or Everywhere, or Superseded. An order that is not committed in time is retried until it is or is superseded, also by the next
+// process.
 func (k *Keeper) Order(ctx context.Context, target Target, disabled bool) string {
 	p := newOrder(target, disabled)
 	k.mu.Lock()
@@ -108,6 +110,9 @@
 	if k.commit(ctx, p) {
 		return Everywhere
 	}
+	if k.isSuperseded(p) {
+		return Superseded
+	}
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -115,6 +120,13 @@
 	return Here
 }
 
+// isSuperseded reports whether an order has given way to another member's.
+func (k *Keeper) isSuperseded(p *pendingOrder) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return p.superseded
+}
+
 // findPending returns the pending order for a target, or nil if there is none.
 func (k *Keeper) findPending(target Target) *pendingOrder {
 	for _, p := range k.pending {
@@ -136,7 +148,7 @@
 // applyLocked applies the set that is now in force, and saves the pending orders, where either has changed.
 func (k *Keeper) applyLocked() {
 	view := k.currentView()
-	k.pending = withoutShown(view, k.pending)
+	k.pending = withoutEnded(view, k.pending)
 	inForce := effectiveSet(view, k.Start, k.pending)
 	if k.lastApplied == nil || !inForce.Equal(k.lastApplied) {
 		k.lastApplied = &inForce
@@ -153,7 +165,7 @@
 func (k *Keeper) commit(ctx context.Context, p *pendingOrder) bool {
 	for range maxBaseChanges {
 		k.mu.Lock()
-		current, done := k.findPending(p.Target) == p, p.committed != 0
+		current, done := k.findPending(p.Target) == p && !p.superseded, p.committed != 0
 		w := p.toWrite(k.By)
 		k.mu.Unlock()
 		if !current || done {
@@ -166,14 +178,14 @@
 		case result.Outcome == record.Applied:
 			p.committed = result.Version
 			k.applyLocked()
-		case result.Outcome == record.Stale, result.Outcome == record.Forgotten: // an order applies whatever the record held before it
-			p.ID, p.Base = rand.Text(), result.Version
+		case result.Outcome == record.Stale, result.Outcome == record.Forgotten:
+			k.resolveLocked(p, result)
 		default:
 			p.rejected = true
 			k.Log.Error("order_refused", "target", string(p.Target), "reason", result.Reason)
 		}
 		done = p.committed != 0
-		stop := done || p.rejected || err != nil
+		stop := done || p.rejected || p.superseded || err != nil
 		k.mu.Unlock()
 		if stop {
 			return done
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -66,14 +66,20 @@
 	saved []byte
 }
 
-func start(t *testing.T, m *member, saved []byte, before ...string) *process {
+func start(t *testing.T, m Member, saved []byte, before ...string) *process {
+	t.Helper()
+	return startAs(t, "test", m, saved, before...)
+}
+
+// startAs is start for a process whose orders have the given author.
+func startAs(t *testing.T, by string, m Member, saved []byte, before ...string) *process {
 	t.Helper()
 	p := &process{sets: make(chan string, 1000), saved: saved}
 	var was maintenance.Set
 	for _, id := range before {
 		was.Disable(id)
 	}
-	p.Keeper = New(Config{Member: m, By: "test", Start: was, Log: slog.New(slog.DiscardHandler),
+	p.Keeper = New(Config{Member: m, By: by, Start: was, Log: slog.New(slog.DiscardHandler),
 		Apply: func(s maintenance.Set) { p.sets <- strings.Join(append(s.WorkerIDs(), s.Zones()...), ",") },
 		Load: func() ([]byte, error) {
 			if p.saved == nil {
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -33,6 +33,8 @@
 	Base      record.Version `json:"base"`
 	committed record.Version // record version that holds the order; 0 while unknown
 	rejected  bool           // by the record: the order is in force here only
+
+	superseded bool // another member disabled the target without this order's knowledge, and that holds
 }
 
 // applyOrder applies an order to a set.
@@ -70,10 +72,10 @@
 	return inForce
 }
 
-// withoutShown removes the pending orders that the given state of the record includes.
-func withoutShown(view record.View, pending []*pendingOrder) []*pendingOrder {
+// withoutEnded removes the pending orders that the given state of the record includes, and those that are superseded.
+func withoutEnded(view record.View, pending []*pendingOrder) []*pendingOrder {
 	return slices.DeleteFunc(pending, func(p *pendingOrder) bool {
-		return view != nil && p.committed != 0 && p.committed <= view.Version()
+		return p.superseded || view != nil && p.committed != 0 && p.committed <= view.Version()
 	})
 }
 
--- a/internal/program/cluster.go
+++ b/internal/program/cluster.go
@@ -49,6 +49,9 @@
 	return filepath.Join(folder, "burlpass-"+s.config.Name+".orders")
 }
 
+// errSuperseded is the refusal of an order to enable that did not know of another member's order to disable.
+var errSuperseded = errors.New("disabled by another member meanwhile: give the order again to undo that")
+
 // orderViaCluster submits an operator's order to the cluster.
 func (h *adminHandler) orderViaCluster(command operator.Command) (string, error) {
 	if err := h.checkTarget(command); err != nil {
@@ -60,7 +63,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	return h.clusterOrders.Order(ctx, target, command.Verb == operator.Disable || command.Verb == operator.DisableZone), nil
+	scope := h.clusterOrders.Order(ctx, target, command.Verb == operator.Disable || command.Verb == operator.DisableZone)
+	if scope == orders.Superseded {
+		return "", errSuperseded
+	}
+	return scope, nil
 }
 
 // closeMember closes the cluster member, if there is one.
