--- a/internal/sourcecheck/main.go
+++ b/internal/sourcecheck/main.go
@@ -1,6 +1,6 @@
 // Command sourcecheck checks the repository's own rules for Go files. It reports files that are too long, exported items
-// without a doc comment (which staticcheck does not report), and socket deadlines that are set outside the files that own
-// them.
+// without a doc comment (which staticcheck does not report), socket deadlines that are set outside the files that own
+// them, and built programs that are committed.
 package main
 
 import (
@@ -20,6 +20,11 @@
 
 func main() {
 	findings, err := checkTree(".")
+	if err == nil {
+		var programs []string
+		programs, err = committedPrograms(".")
+		findings = append(findings, programs...)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "sourcecheck:", err)
 		os.Exit(1)
