A server listed anew during its probe is probed again

A server that was listed as draining while a probe of it was under way, and as ready later, stayed ejected until the sidecar's restart: the ejection lasts until the probe's result, which is dropped while the server is not listed as ready. It is now probed again when it is listed as ready.

TestListedAnewDuringProbe failed before ("no probe is sent once the server is ready again") and passes now; decide passes with the race detector.

--- a/decide/health.go
+++ b/decide/health.go
@@ -163,6 +163,9 @@
 	b.setTimer(d, timerServer, 0, uint64(s.ID))
 }
 
+// untilProbed is the end of an ejection that lasts until the result of a probe.
+const untilProbed = time.Duration(math.MaxInt64)
+
 // readmit ends an ejection. Where probes are allowed one is sent first, so that no request is risked on a
 // dead server.
 func (b *Balancer) readmit(s *server) {
@@ -171,7 +174,7 @@
 		return
 	}
 	if b.config.Limits.Probe {
-		s.ejectedUntil = math.MaxInt64
+		s.ejectedUntil = untilProbed
 		b.addAction(Action{Kind: Probe, Server: s.ID})
 		return
 	}
--- a/decide/health_test.go
+++ b/decide/health_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -137,3 +138,30 @@
 		}
 	}
 }
+
+// Guards against a server that stays ejected for good: it is listed as draining while a probe of it is under way, so that the probe's result
+// counts for nothing, and then as ready again.
+func TestListedAnewDuringProbe(t *testing.T) {
+	for _, status := range []Status{OK, Reset} {
+		c := testConfig()
+		c.Limits.Probe = true
+		b, list := New(c, 1), testServers(4)
+		b.Handle(0, Event{Kind: Members, Servers: list})
+		s := b.servers[list[0].ID]
+		s.ejections = 1
+		b.move(s, &s.tier.ejected)
+		b.readmit(s)
+		list[0].State = Draining
+		b.Handle(time.Second, Event{Kind: Members, Servers: list})
+		b.Handle(2*time.Second, Event{Kind: ProbeResult, Server: s.ID, Status: status})
+		list[0].State = Ready
+		actions := b.Handle(3*time.Second, Event{Kind: Members, Servers: list})
+		if !slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == Probe && a.Server == s.ID }) {
+			t.Fatalf("result %d: no probe is sent once the server is ready again", status)
+		}
+		b.Handle(4*time.Second, Event{Kind: ProbeResult, Server: s.ID, Status: OK})
+		if s.pool != &s.tier.halfOpen {
+			t.Errorf("result %d: the server is not tried", status)
+		}
+	}
+}
--- a/decide/members.go
+++ b/decide/members.go
@@ -88,6 +88,7 @@
 		b.servers[listed.ID] = s
 	}
 	restarted, wasHalfOpen := listed.Started != s.Started, s.tier != nil && s.pool == &s.tier.halfOpen
+	wasEjected := s.tier != nil && s.pool == &s.tier.ejected
 	b.move(s, nil)
 	s.Server = *listed
 	s.weight = 1
@@ -110,6 +111,9 @@
 		b.move(s, &s.tier.halfOpen)
 	case s.ejectedUntil > b.now:
 		b.move(s, &s.tier.ejected)
+		if s.ejectedUntil == untilProbed && !wasEjected { // the probe under way is dropped
+			b.readmit(s)
+		}
 	default:
 		b.move(s, &s.tier.active)
 	}
