--- a/internal/protocol/ahead.go
+++ b/internal/protocol/ahead.go
@@ -39,6 +39,10 @@
 	n, err := conn.Read(last.unread[len(last.unread):cap(last.unread)])
 	last.unread = last.unread[:len(last.unread)+n]
 	q.size += n
+	if len(last.unread) == 0 {
+		last.grant.Release()
+		q.pieces = q.pieces[:len(q.pieces)-1]
+	}
 	return n, err
 }
 
