A body in small chunks is read through 16 KiB

The buffer is paid from the memory budget, and smaller where there is none. internal/protocol passes.

--- a/internal/protocol/buffers.go
+++ b/internal/protocol/buffers.go
@@ -13,6 +13,7 @@
 const (
 	connectionBuffer = 1 << 10                // bytes of the read buffer that every client's connection has
 	bufferGrowth     = 8                      // factor by which the buffer grows for requests that were sent ahead
+	chunksBuffer     = 16 << 10               // bytes of the read buffer for a body in chunks, of which many may come together
 	maxMemoryWait    = 250 * time.Millisecond // for memory that others are to give back
 	maxEvictions     = 8                      // of clients that have stopped within a request, for one that waits for memory
 	minPiece         = 4 << 10                // bytes in transit of a long message that every connection may have
@@ -64,9 +65,8 @@
 	c.grant.Release()
 }
 
-// growBuffer gives the connection a larger buffer for requests that were sent ahead. It reports whether there was memory.
-func (c *client) growBuffer() bool {
-	size := min(bufferGrowth*c.r.Size(), maxReadAhead)
+// growBuffer gives the connection a larger buffer of the given size. It reports whether there was memory.
+func (c *client) growBuffer(size int) bool {
 	if !c.memory().TryAcquire(&c.aheadGrant, memory.Transfers, int64(size-c.r.Size())) {
 		return false
 	}
--- a/internal/protocol/presence.go
+++ b/internal/protocol/presence.go
@@ -244,7 +244,7 @@
 	if _, err := c.r.Peek(c.r.Buffered() + 1); !errors.Is(err, bufio.ErrBufferFull) {
 		return err
 	}
-	if c.r.Size() < maxReadAhead && c.growBuffer() {
+	if c.r.Size() < maxReadAhead && c.growBuffer(min(bufferGrowth*c.r.Size(), maxReadAhead)) {
 		return nil
 	}
 	if unread, known := c.UnreadBytes(); known && unread < maxUnreadAhead {
--- a/internal/protocol/server.go
+++ b/internal/protocol/server.go
@@ -264,7 +264,7 @@
 		}
 	}
 	if !body.done {
-		if body.chunked && c.r.Buffered() > 0 && c.growBuffer() { // so that many small chunks are read together
+		if body.chunked && c.r.Buffered() > 0 && c.r.Size() < chunksBuffer && c.growBuffer(chunksBuffer) { // so that many small chunks are read together
 			body.r = c.r
 		}
 		c.upload = newUpload(body, c.Client, time.Since(begun), int64(len(c.body)), 0)
