The look behind a message is bounded by what it does, not by the clock

A process that gets little processor time would have called a client unknown, and refused it, since the 50 ms of the check were over after a few looks. The check now ends after 20 ms without bytes (settleTime), counted in looks, or 1,000 reads.

--- a/internal/program/stop_response_test.go
+++ b/internal/program/stop_response_test.go
@@ -79,7 +79,7 @@
 				}
 				answered := time.Now()
 				c.Wait()
-				if took := time.Since(answered); took > time.Second {
+				if took := time.Since(answered); took > responseStallLimit {
 					t.Errorf("the process ended %v after its last response", took)
 				}
 			})
--- a/internal/protocol/client_state.go
+++ b/internal/protocol/client_state.go
@@ -21,10 +21,10 @@
 
 // Limits on the check whether a client whose message has not been read is still there.
 const (
-	maxPresenceAge   = 50 * time.Millisecond // for which a client that was there needs no further check; half of what is allowed for an attempt
-	quietChecks      = 10                    // checks without unread bytes after which its system has nothing left to send
-	quietCheckDelay  = time.Millisecond      // between two of them
-	maxPresenceCheck = 50 * time.Millisecond // for the whole check, unless the process gets no processor time for quietChecks
+	maxPresenceAge  = 50 * time.Millisecond // for which a client that was there needs no further check; half of what is allowed for an attempt
+	quietCheckDelay = time.Millisecond      // after a check that finds no unread bytes
+	maxQuietChecks  = int(settleTime / quietCheckDelay)
+	maxAheadReads   = 1000 // of one check; a client that always has bytes cannot hold it up for longer
 )
 
 // uploadClientState checks for a disconnect behind a long message of which no attempt has read anything: it reads the message ahead
@@ -36,13 +36,13 @@
 	if u == nil || u.source == nil || w.answered || w.gone || w.mayReadAhead || time.Since(u.presentAt) < maxPresenceAge {
 		return 0, false
 	}
-	begun := time.Now()
-	for quiet, checks := 0, 0; checks <= quietChecks || time.Since(begun) < maxPresenceCheck; checks++ {
+	for reads, quiet := 0, 0; reads < maxAheadReads; {
 		switch w.client.Pending() {
 		case transport.PendingEnd:
 			w.markDisconnected()
 			return ClientDisconnected, true
 		case transport.PendingBytes:
+			reads++
 			err := u.readAhead()
 			switch {
 			case errors.Is(err, errUploadStarted):
@@ -54,7 +54,7 @@
 				return ClientDisconnected, true
 			}
 		case transport.PendingNone:
-			if quiet++; quiet > quietChecks || u.isHeld() {
+			if quiet++; quiet > maxQuietChecks || u.isHeld() {
 				u.presentAt = time.Now()
 				return ClientConnected, true
 			}
