--- a/internal/program/stop_response_test.go
+++ b/internal/program/stop_response_test.go
@@ -100,3 +100,28 @@
 	time.Sleep(time.Until(r.start.Add(time.Duration(r.total) * time.Second / time.Duration(r.rate))))
 	return n, err
 }
+
+// Guards against the same at the old process of an upgrade, while the new one serves.
+func TestUpgradeFinishesMovingResponses(t *testing.T) {
+	t.Parallel()
+	const length = 1 << 20 / 100 * 100
+	u := newUpgradedSidecar(t, slowResponseWorker(t, length, 6500*time.Millisecond, true))
+	previous := u.startReady()
+	conn, err := net.Dial("tcp", u.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(3 * waitLimit))
+	io.WriteString(conn, bookingCall())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.startReady()
+	previous.stop()
+	if n, err := io.Copy(io.Discard, response.Body); err != nil || n != length {
+		t.Errorf("%d of %d bytes: %v", n, length, err)
+	}
+	previous.awaitExit()
+}
